Add design page, build, wire messages and process skeleton

Cause: the repository was empty; the parts of the system are built at the same time by several people and need one page, one set of messages and one set of ids to agree on.

Change: docs/design.md answers who admits, how fairness is exchanged, claims of request keys, consensus, partitions, engine orders, version moves, silent connections and streams. The build formats (AOSP), lints, tests and shades one jar. Packages id, connection (links), process.loop, process.metrics and process.settings have code; the others have their interfaces or package documentation. ArchitectureTest keeps I/O and clocks out of decisions.

Conclusion: the parts can start.

--- /dev/null
+++ b/src/main/java/org/jacinthwharf/connection/LinkHandler.java
@@ -0,0 +1,135 @@
+package org.jacinthwharf.connection;
+
+import com.google.common.base.Ascii;
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.util.Optional;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.process.metrics.FleetMetrics;
+import org.jacinthwharf.wire.generated.Envelope;
+import org.jacinthwharf.wire.generated.Heartbeat;
+import org.jacinthwharf.wire.generated.Hello;
+
+/**
+ * Says hello and heartbeats on one channel, and hands its messages to the event loop.
+ *
+ * <p>Used by the channel's Netty thread only. Invariant: the listener sees up, then messages, then
+ * down.
+ */
+final class LinkHandler extends SimpleChannelInboundHandler<Envelope> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Envelope HEARTBEAT =
+            Envelope.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
+
+    private final Hello mSelf;
+    private final EventLoop mLoop;
+    private final LinkListener mListener;
+    private final FleetMetrics mMetrics;
+    private Optional<Link> mLink = Optional.empty();
+
+    LinkHandler(Hello self, EventLoop loop, LinkListener listener, FleetMetrics metrics) {
+        mSelf = self;
+        mLoop = loop;
+        mListener = listener;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        context.writeAndFlush(Envelope.newBuilder().setHello(mSelf).build());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+        count("in", message);
+        switch (message.getPayloadCase()) {
+            case HELLO -> open(context.channel(), message.getHello());
+            case HEARTBEAT -> {}
+            default -> mLink.ifPresent(l -> mLoop.execute(() -> mListener.onMessage(l, message)));
+        }
+    }
+
+    private void open(Channel channel, Hello peer) {
+        if (mLink.isPresent()) {
+            return;
+        }
+        Link link = new ChannelLink(channel, peer);
+        mLink = Optional.of(link);
+        LOGGER.atInfo().log(
+                "event=link_up peer=%s incarnation=%d", peer.getVmId(), peer.getIncarnation());
+        mLoop.execute(() -> mListener.onUp(link));
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent idle) {
+            if (idle.state() == IdleState.READER_IDLE) {
+                LOGGER.atInfo().log("event=link_silent peer=%s", peerName());
+                context.close();
+            } else {
+                count("out", HEARTBEAT);
+                context.writeAndFlush(HEARTBEAT);
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mLink.ifPresent(
+                l -> {
+                    LOGGER.atInfo().log("event=link_down peer=%s", peerName());
+                    mLoop.execute(() -> mListener.onDown(l));
+                });
+        mLink = Optional.empty();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOGGER.atInfo().log("event=link_failed peer=%s cause='%s'", peerName(), cause);
+        context.close();
+    }
+
+    private String peerName() {
+        return mLink.map(l -> l.peer().getVmId()).orElse("unknown");
+    }
+
+    private void count(String direction, Envelope message) {
+        String name = Ascii.toLowerCase(message.getPayloadCase().name());
+        mMetrics.countControlBytes(direction, name, message.getSerializedSize());
+    }
+
+    /** The link over one channel. Thread-safe, as Netty's channels are. */
+    private final class ChannelLink implements Link {
+        private final Channel mChannel;
+        private final Hello mPeer;
+
+        ChannelLink(Channel channel, Hello peer) {
+            mChannel = channel;
+            mPeer = peer;
+        }
+
+        @Override
+        public Hello peer() {
+            return mPeer;
+        }
+
+        @Override
+        public boolean send(Envelope message) {
+            if (!mChannel.isActive() || !mChannel.isWritable()) {
+                return false;
+            }
+            count("out", message);
+            mChannel.writeAndFlush(message, mChannel.voidPromise());
+            return true;
+        }
+
+        @Override
+        public void close() {
+            mChannel.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/connection/Links.java
@@ -0,0 +1,164 @@
+package org.jacinthwharf.connection;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.process.metrics.FleetMetrics;
+import org.jacinthwharf.wire.generated.Envelope;
+import org.jacinthwharf.wire.generated.Hello;
+
+/**
+ * Opens and accepts the links of one process.
+ *
+ * <p>Thread-safe. Invariant: listeners run on the process's event loop only. One Netty thread
+ * carries all links, since control traffic is a few KB/s.
+ */
+public final class Links implements AutoCloseable {
+    /** A link without data for this long is closed and opened anew. */
+    public static final Duration SILENCE_LIMIT = Duration.ofSeconds(2);
+
+    static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
+    private static final Duration RECONNECT_DELAY = Duration.ofMillis(250);
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    // A snapshot of the control state travels in one frame.
+    private static final int MAX_FRAME_BYTES = 64 << 20;
+    private static final int FRAME_LENGTH_BYTES = 4;
+    // Above the high mark messages are dropped; protocols repeat what matters.
+    private static final WriteBufferWaterMark SEND_BUFFER =
+            new WriteBufferWaterMark(1 << 20, 80 << 20);
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Hello mSelf;
+    private final EventLoop mLoop;
+    private final FleetMetrics mMetrics;
+    private final EventLoopGroup mGroup;
+    private volatile boolean mClosed;
+
+    /** Creates the links of the process that {@code self} describes. */
+    public Links(Hello self, EventLoop loop, FleetMetrics metrics) {
+        mSelf = self;
+        mLoop = loop;
+        mMetrics = metrics;
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    /**
+     * Accepts links at {@code address}.
+     *
+     * @return completes when the port is bound, or fails with the cause
+     */
+    public CompletableFuture<Void> accept(InetSocketAddress address, LinkListener listener) {
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(mGroup)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, SEND_BUFFER)
+                        .childOption(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT)
+                        .childHandler(new Pipeline(listener))
+                        .bind(address);
+        CompletableFuture<Void> result = new CompletableFuture<>();
+        bound.addListener(
+                f -> {
+                    if (f.isSuccess()) {
+                        result.complete(null);
+                    } else {
+                        result.completeExceptionally(f.cause());
+                    }
+                });
+        return result;
+    }
+
+    /** Keeps a link to {@code address} open, opening it anew whenever it closes, until close. */
+    public void keepOpen(InetSocketAddress address, LinkListener listener) {
+        if (mClosed) {
+            return;
+        }
+        ChannelFuture connecting =
+                new Bootstrap()
+                        .group(mGroup)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, SEND_BUFFER)
+                        .handler(new Pipeline(listener))
+                        .connect(address);
+        connecting
+                .channel()
+                .closeFuture()
+                .addListener(
+                        f -> {
+                            LOGGER.atFine().log("event=link_closed address=%s", address);
+                            reconnectLater(address, listener);
+                        });
+    }
+
+    private void reconnectLater(InetSocketAddress address, LinkListener listener) {
+        if (!mClosed && !mGroup.isShuttingDown()) {
+            mGroup.schedule(
+                    () -> keepOpen(address, listener),
+                    RECONNECT_DELAY.toMillis(),
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Closes all links; listeners hear of nothing after that. */
+    @Override
+    public void close() {
+        mClosed = true;
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private final class Pipeline extends ChannelInitializer<SocketChannel> {
+        private final LinkListener mListener;
+
+        Pipeline(LinkListener listener) {
+            mListener = listener;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            initialize(channel, mListener);
+        }
+    }
+
+    private void initialize(Channel channel, LinkListener listener) {
+        channel.pipeline()
+                .addLast(
+                        new IdleStateHandler(
+                                SILENCE_LIMIT.toMillis(),
+                                HEARTBEAT_INTERVAL.toMillis(),
+                                0,
+                                TimeUnit.MILLISECONDS))
+                .addLast(
+                        new LengthFieldBasedFrameDecoder(
+                                MAX_FRAME_BYTES, 0, FRAME_LENGTH_BYTES, 0, FRAME_LENGTH_BYTES))
+                .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
+                .addLast(new LengthFieldPrepender(FRAME_LENGTH_BYTES))
+                .addLast(new ProtobufEncoder())
+                .addLast(new LinkHandler(mSelf, mLoop, listener, mMetrics));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers; each validates itself on creation. */
+package org.jacinthwharf.id;
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/consensus/package-info.java
@@ -0,0 +1,2 @@
+/** Replicates a log among the control members: Raft, log, snapshots. */
+package org.jacinthwharf.process.consensus;
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control process: state machine, operator interface, configuration push. */
+package org.jacinthwharf.process.control;
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/metrics/RetryReason.java
@@ -0,0 +1,21 @@
+package org.jacinthwharf.process.metrics;
+
+import com.google.common.base.Ascii;
+
+/** Why an attempt was followed by another one. Each reason has a counter. */
+public enum RetryReason {
+    CONNECT_FAILED,
+    CONNECTION_CLOSED,
+    CONNECTION_SILENT,
+    BACKEND_NOT_RUN,
+    BACKEND_ERROR,
+    CROSSED_ANSWER,
+    STREAM_TRUNCATED,
+    SLOT_RECALLED,
+    GRANT_EXPIRED;
+
+    /** Returns the reason code in logs and counters, such as {@code connect_failed}. */
+    public String code() {
+        return Ascii.toLowerCase(name());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Counters with closed sets of reasons, and the admin port; start reading at {@code FleetMetrics}.
+ */
+package org.jacinthwharf.process.metrics;
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/router/package-info.java
@@ -0,0 +1,2 @@
+/** The router process: wiring of HTTP, links and decisions. */
+package org.jacinthwharf.process.router;
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/settings/ControlPeer.java
@@ -0,0 +1,15 @@
+package org.jacinthwharf.process.settings;
+
+/**
+ * A control member as the other processes and operators reach it.
+ *
+ * <p>Immutable.
+ *
+ * @param vmId VM that the member runs on
+ * @param failureDomain failure domain of the VM
+ * @param region region of the failure domain
+ * @param peer where other processes connect
+ * @param http where operators connect
+ */
+public record ControlPeer(
+        String vmId, String failureDomain, String region, Endpoint peer, Endpoint http) {}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Small stand-in backend servers for trials, tests and benchmarks. */
+package org.jacinthwharf.standin;
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/version/package-info.java
@@ -0,0 +1,2 @@
+/** Decides on version moves: evidence, verdict, phases. */
+package org.jacinthwharf.version;
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/ArchitectureTest.java
@@ -0,0 +1,51 @@
+package org.jacinthwharf;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Guards the rules that make decisions replayable: no I/O, clocks or randomness in them. */
+@AnalyzeClasses(packages = "org.jacinthwharf", importOptions = ImportOption.DoNotIncludeTests.class)
+final class ArchitectureTest {
+    private static final String[] DECISIONS = {
+        "org.jacinthwharf.id..",
+        "org.jacinthwharf.request..",
+        "org.jacinthwharf.version..",
+        "org.jacinthwharf.process.membership.."
+    };
+
+    @ArchTest
+    static final ArchRule DECISIONS_DO_NO_IO =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "io.netty..",
+                            "org.eclipse.jetty..",
+                            "java.io..",
+                            "java.net..",
+                            "java.nio.channels..",
+                            "java.nio.file..")
+                    .allowEmptyShould(true);
+
+    @ArchTest
+    static final ArchRule DECISIONS_READ_NO_CLOCK =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .callMethod(System.class, "nanoTime")
+                    .orShould()
+                    .callMethod(System.class, "currentTimeMillis")
+                    .orShould()
+                    .callMethod(Math.class, "random")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .haveFullyQualifiedName("java.lang.Thread")
+                    .allowEmptyShould(true);
+}
