--- a/src/main/java/org/jacinthwharf/cli/Main.java
+++ b/src/main/java/org/jacinthwharf/cli/Main.java
@@ -1,9 +1,20 @@
 package org.jacinthwharf.cli;
 
-/** Entry point of the executable jar. */
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Entry point of the executable jar; each subcommand is a class of this package. */
+@Command(
+        name = "jacinthwharf",
+        mixinStandardHelpOptions = true,
+        version = "jacinthwharf 0.1.0",
+        description = "Router fleet for backend servers that many customers share.",
+        subcommands = {CheckCommand.class, StandInCommand.class, FreePortsCommand.class})
 public final class Main {
     private Main() {}
 
-    /** Runs the command named by {@code args}. */
-    public static void main(String[] args) {}
+    /** Runs the command named by {@code args} and exits with its status. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
 }
--- a/src/main/java/org/jacinthwharf/process/settings/Limits.java
+++ b/src/main/java/org/jacinthwharf/process/settings/Limits.java
@@ -1,7 +1,5 @@
 package org.jacinthwharf.process.settings;
 
-import com.fasterxml.jackson.annotation.JsonProperty;
-
 /**
  * Bounds on what callers may use of one router. Each has a default.
  *
@@ -17,14 +15,14 @@
  * @param drainDelayMs time between readiness turning off and the end of accepting connections
  */
 public record Limits(
-        @JsonProperty(defaultValue = "1048576") int maxBodyBytes,
-        @JsonProperty(defaultValue = "16384") int maxHeaderBytes,
-        @JsonProperty(defaultValue = "10000") long bodyTimeoutMs,
-        @JsonProperty(defaultValue = "200") int maxQueuedPerCustomer,
-        @JsonProperty(defaultValue = "5000") int maxQueued,
-        @JsonProperty(defaultValue = "30000") long defaultDeadlineMs,
-        @JsonProperty(defaultValue = "120000") long maxDeadlineMs,
-        @JsonProperty(defaultValue = "3000") long drainDelayMs) {
+        int maxBodyBytes,
+        int maxHeaderBytes,
+        long bodyTimeoutMs,
+        int maxQueuedPerCustomer,
+        int maxQueued,
+        long defaultDeadlineMs,
+        long maxDeadlineMs,
+        long drainDelayMs) {
 
     /** Returns the limits that apply where settings say nothing. */
     public static Limits defaults() {
--- a/src/main/java/org/jacinthwharf/process/settings/RouterSettings.java
+++ b/src/main/java/org/jacinthwharf/process/settings/RouterSettings.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
-import java.util.Optional;
 
 /**
  * Settings of a router process.
@@ -24,17 +23,11 @@
         Listen listen,
         List<RouterPeer> routers,
         List<ControlPeer> controlMembers,
-        Optional<Limits> limits) {
+        Limits limits) {
 
     /** Creates settings with copies of the lists. */
     public RouterSettings {
         routers = ImmutableList.copyOf(routers);
         controlMembers = ImmutableList.copyOf(controlMembers);
-        limits = limits == null ? Optional.empty() : limits;
-    }
-
-    /** Returns the limits in force: the given ones or the defaults. */
-    public Limits limitsInForce() {
-        return limits.orElseGet(Limits::defaults);
     }
 }
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/settings/SettingsReader.java
@@ -0,0 +1,143 @@
+package org.jacinthwharf.process.settings;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.networknt.schema.Error;
+import com.networknt.schema.InputFormat;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * Reads and checks settings files against the published schemas.
+ *
+ * <p>Stateless but for the parsed schemas; thread-safe. The schemas are the resources {@code
+ * /schema/router.schema.json} and {@code /schema/control.schema.json}; keys they do not name are
+ * problems.
+ */
+public final class SettingsReader {
+    private static final int MAX_SHOWN_VALUE = 120;
+
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final SchemaRegistry mSchemas =
+            SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12);
+    private final SettingsRules mRules = new SettingsRules();
+
+    /** Reads the settings of a router. */
+    public SettingsResult<RouterSettings> readRouter(Path file) {
+        SettingsResult<RouterSettings> result = read(file, "router", RouterSettings.class);
+        if (result instanceof SettingsResult.Valid<RouterSettings> v) {
+            return checked(v, mRules.check(file.toString(), v.settings()));
+        }
+        return result;
+    }
+
+    /** Reads the settings of a control member. */
+    public SettingsResult<ControlSettings> readControl(Path file) {
+        SettingsResult<ControlSettings> result = read(file, "control", ControlSettings.class);
+        if (result instanceof SettingsResult.Valid<ControlSettings> v) {
+            return checked(v, mRules.check(file.toString(), v.settings()));
+        }
+        return result;
+    }
+
+    /** Returns the role that a settings file is for, or a problem if it names none. */
+    public SettingsResult<String> readRole(Path file) {
+        try {
+            JsonNode role = mMapper.readTree(Files.readAllBytes(file)).path("role");
+            String text = role.asText("");
+            if (text.equals("router") || text.equals("control")) {
+                return new SettingsResult.Valid<>(text);
+            }
+            return problem(file, "/role", shown(role), "must be 'router' or 'control'");
+        } catch (IOException e) {
+            return unreadable(file, e);
+        }
+    }
+
+    private static <T> SettingsResult<T> checked(
+            SettingsResult<T> valid, ImmutableList<SettingsProblem> problems) {
+        return problems.isEmpty() ? valid : new SettingsResult.Invalid<>(problems);
+    }
+
+    private <T> SettingsResult<T> read(Path file, String role, Class<T> type) {
+        JsonNode tree;
+        try {
+            tree = mMapper.readTree(Files.readAllBytes(file));
+        } catch (IOException e) {
+            return unreadable(file, e);
+        }
+        ImmutableList<SettingsProblem> problems =
+                schema(role).validate(tree).stream()
+                        .map(e -> toProblem(file, e))
+                        .collect(ImmutableList.toImmutableList());
+        if (!problems.isEmpty()) {
+            return new SettingsResult.Invalid<>(problems);
+        }
+        ObjectNode settings = (ObjectNode) tree;
+        settings.remove("role");
+        if (role.equals("router")) {
+            fillInLimits(settings);
+        }
+        return bind(file, settings, type);
+    }
+
+    private <T> SettingsResult<T> bind(Path file, ObjectNode settings, Class<T> type) {
+        try {
+            return new SettingsResult.Valid<>(mMapper.treeToValue(settings, type));
+        } catch (JacksonException e) {
+            return problem(file, "", "", e.getOriginalMessage());
+        }
+    }
+
+    private void fillInLimits(ObjectNode settings) {
+        ObjectNode limits = mMapper.valueToTree(Limits.defaults());
+        if (settings.get("limits") instanceof ObjectNode given) {
+            limits.setAll(given);
+        }
+        settings.set("limits", limits);
+    }
+
+    private Schema schema(String role) {
+        try (InputStream in =
+                SettingsReader.class.getResourceAsStream("/schema/" + role + ".schema.json")) {
+            return mSchemas.getSchema(in, InputFormat.JSON);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static SettingsProblem toProblem(Path file, Error error) {
+        JsonNode node = error.getInstanceNode();
+        return new SettingsProblem(
+                file.toString(),
+                error.getInstanceLocation().toString(),
+                node == null ? "" : shown(node),
+                error.getMessage());
+    }
+
+    private static String shown(JsonNode node) {
+        String text = node.isMissingNode() ? "" : node.toString();
+        return text.length() <= MAX_SHOWN_VALUE ? text : text.substring(0, MAX_SHOWN_VALUE) + "...";
+    }
+
+    private static <T> SettingsResult<T> unreadable(Path file, IOException e) {
+        String reason =
+                e instanceof JacksonException j ? "not JSON: " + j.getOriginalMessage() : "" + e;
+        return problem(file, "", "", reason);
+    }
+
+    private static <T> SettingsResult<T> problem(
+            Path file, String path, String value, String expected) {
+        return new SettingsResult.Invalid<>(
+                ImmutableList.of(new SettingsProblem(file.toString(), path, value, expected)));
+    }
+}
