--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/control/ConfigurationState.java
@@ -0,0 +1,68 @@
+package org.jacinthwharf.process.control;
+
+import java.util.TreeMap;
+import org.jacinthwharf.wire.generated.Configuration;
+import org.jacinthwharf.wire.generated.ConfigurationDelta;
+import org.jacinthwharf.wire.generated.Customer;
+import org.jacinthwharf.wire.generated.FailureDomain;
+import org.jacinthwharf.wire.generated.Model;
+
+/**
+ * A configuration that changes by deltas, on control members and on routers.
+ *
+ * <p>Not thread-safe. Invariant: equal contents give equal {@link #toMessage} results, since
+ * entries are sorted by id.
+ */
+final class ConfigurationState {
+    private final TreeMap<String, Customer> mCustomers = new TreeMap<>();
+    private final TreeMap<String, FailureDomain> mFailureDomains = new TreeMap<>();
+    private final TreeMap<String, Model> mModels = new TreeMap<>();
+    private long mRevision;
+
+    long revision() {
+        return mRevision;
+    }
+
+    Customer customer(String id) {
+        return mCustomers.get(id);
+    }
+
+    FailureDomain failureDomain(String id) {
+        return mFailureDomains.get(id);
+    }
+
+    Model model(String id) {
+        return mModels.get(id);
+    }
+
+    /** Applies a delta; the revision becomes {@code revision}. */
+    void apply(ConfigurationDelta delta, long revision) {
+        delta.getCustomersList().forEach(c -> mCustomers.put(c.getId(), c));
+        delta.getRemovedCustomersList().forEach(mCustomers::remove);
+        delta.getFailureDomainsList().forEach(f -> mFailureDomains.put(f.getId(), f));
+        delta.getModelsList().forEach(m -> mModels.put(m.getId(), m));
+        delta.getRemovedModelsList().forEach(mModels::remove);
+        mRevision = revision;
+    }
+
+    /** Replaces everything. */
+    void replace(Configuration whole) {
+        mCustomers.clear();
+        mFailureDomains.clear();
+        mModels.clear();
+        whole.getCustomersList().forEach(c -> mCustomers.put(c.getId(), c));
+        whole.getFailureDomainsList().forEach(f -> mFailureDomains.put(f.getId(), f));
+        whole.getModelsList().forEach(m -> mModels.put(m.getId(), m));
+        mRevision = whole.getRevision();
+    }
+
+    /** Returns the whole configuration; costs a copy of all entries. */
+    Configuration toMessage() {
+        return Configuration.newBuilder()
+                .setRevision(mRevision)
+                .addAllCustomers(mCustomers.values())
+                .addAllFailureDomains(mFailureDomains.values())
+                .addAllModels(mModels.values())
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
@@ -0,0 +1,147 @@
+package org.jacinthwharf.process.control;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.LinkedHashMap;
+import java.util.Optional;
+import org.jacinthwharf.process.consensus.StateMachine;
+import org.jacinthwharf.wire.generated.Command;
+import org.jacinthwharf.wire.generated.CommandReply;
+import org.jacinthwharf.wire.generated.CommandResult;
+import org.jacinthwharf.wire.generated.Configuration;
+import org.jacinthwharf.wire.generated.ConfigurationDelta;
+import org.jacinthwharf.wire.generated.ControlSnapshot;
+
+/**
+ * The state that the control group replicates: configuration, version moves, claims and replies.
+ *
+ * <p>Called on the event loop only. Invariants: the revision grows by one with each accepted
+ * configuration change and with nothing else; a repeated command id changes nothing and gets the
+ * first reply; equal commands give equal snapshots.
+ *
+ * <p>Replies to claims and move steps are not kept by command id: claims are recognised by claim id
+ * and steps state a target, so a repeat does no harm, and neither can displace the replies that
+ * operators wait for.
+ */
+public final class ControlStateMachine implements StateMachine {
+    static final int KEPT_REPLIES = 10_000;
+
+    private final Claims mClaims;
+    private final ConfigurationState mState = new ConfigurationState();
+    private final ChangeRules mRules = new ChangeRules(mState);
+    private final LinkedHashMap<String, CommandReply> mReplies = new LinkedHashMap<>();
+    private Optional<ConfigurationListener> mListener = Optional.empty();
+
+    /** Creates an empty state at revision 0 that uses the given claims. */
+    public ControlStateMachine(Claims claims) {
+        mClaims = claims;
+    }
+
+    void setListener(ConfigurationListener listener) {
+        mListener = Optional.of(listener);
+    }
+
+    /** Returns the committed configuration; costs a copy of all entries. */
+    public Configuration configuration() {
+        return mState.toMessage();
+    }
+
+    /** Returns the revision of the committed configuration. */
+    public long revision() {
+        return mState.revision();
+    }
+
+    @Override
+    public ByteString apply(long index, ByteString command) {
+        try {
+            return apply(Command.parseFrom(command)).toByteString();
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException("committed entry " + index + " is no command", e);
+        }
+    }
+
+    private CommandReply apply(Command command) {
+        return switch (command.getChangeCase()) {
+            case CLAIM ->
+                    reply(command, CommandResult.APPLIED, "")
+                            .setClaim(mClaims.claim(command.getClaim(), command.getNowMillis()))
+                            .build();
+            case CLAIM_END ->
+                    reply(command, CommandResult.APPLIED, "")
+                            .setClaimEnd(mClaims.end(command.getClaimEnd(), command.getNowMillis()))
+                            .build();
+            case MOVE_STEP -> change(command);
+            default -> changeOnce(command);
+        };
+    }
+
+    private CommandReply changeOnce(Command command) {
+        if (command.getCommandId().isEmpty()) {
+            return reply(command, CommandResult.INVALID, "the command has no id").build();
+        }
+        CommandReply first = mReplies.get(command.getCommandId());
+        if (first != null) {
+            return first;
+        }
+        CommandReply reply = change(command);
+        mReplies.put(command.getCommandId(), reply);
+        if (mReplies.size() > KEPT_REPLIES) {
+            mReplies.remove(mReplies.keySet().iterator().next());
+        }
+        return reply;
+    }
+
+    private CommandReply change(Command command) {
+        long base = command.getBasedOnRevision();
+        if (base != 0 && base != mState.revision()) {
+            String detail = "based on revision " + base + ", current is " + mState.revision();
+            return reply(command, CommandResult.CONFLICT, detail).build();
+        }
+        ChangeRules.Decision decision = mRules.decide(command);
+        if (decision instanceof ChangeRules.Decision.Refused r) {
+            return reply(command, CommandResult.INVALID, r.detail()).build();
+        }
+        if (decision instanceof ChangeRules.Decision.Change c) {
+            accept(c.delta());
+        }
+        return reply(command, CommandResult.APPLIED, "").build();
+    }
+
+    private void accept(ConfigurationDelta delta) {
+        mState.apply(delta, delta.getBaseRevision() + 1);
+        mListener.ifPresent(l -> l.onChange(delta));
+    }
+
+    private CommandReply.Builder reply(Command command, CommandResult result, String detail) {
+        return CommandReply.newBuilder()
+                .setCommandId(command.getCommandId())
+                .setResult(result)
+                .setRevision(mState.revision())
+                .setDetail(detail);
+    }
+
+    @Override
+    public ByteString snapshot() {
+        return ControlSnapshot.newBuilder()
+                .setConfiguration(mState.toMessage())
+                .addAllClaims(mClaims.records())
+                .addAllReplies(mReplies.values())
+                .build()
+                .toByteString();
+    }
+
+    @Override
+    public void restore(ByteString snapshot) {
+        ControlSnapshot parsed;
+        try {
+            parsed = ControlSnapshot.parseFrom(snapshot);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException("the snapshot is malformed", e);
+        }
+        mState.replace(parsed.getConfiguration());
+        mClaims.restore(parsed.getClaimsList());
+        mReplies.clear();
+        parsed.getRepliesList().forEach(r -> mReplies.put(r.getCommandId(), r));
+        mListener.ifPresent(ConfigurationListener::onRestore);
+    }
+}
--- a/src/main/java/org/jacinthwharf/process/control/package-info.java
+++ b/src/main/java/org/jacinthwharf/process/control/package-info.java
@@ -1,2 +1,5 @@
-/** The control process: state machine, operator interface, configuration push. */
+/**
+ * The control process: replicated state, operator interface, configuration push. Start reading at
+ * {@code ControlProcess}, or at {@code ControlStateMachine} for the decisions.
+ */
 package org.jacinthwharf.process.control;
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/control/FakeLink.java
@@ -0,0 +1,42 @@
+package org.jacinthwharf.process.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jacinthwharf.connection.Link;
+import org.jacinthwharf.wire.generated.ConfigurationPush;
+import org.jacinthwharf.wire.generated.Envelope;
+import org.jacinthwharf.wire.generated.Hello;
+
+/** Keeps what is sent, in order. */
+final class FakeLink implements Link {
+    final List<Envelope> mSent = new ArrayList<>();
+    private final Hello mPeer;
+
+    FakeLink(String vmId, String role) {
+        mPeer = Hello.newBuilder().setVmId(vmId).setRole(role).build();
+    }
+
+    @Override
+    public Hello peer() {
+        return mPeer;
+    }
+
+    @Override
+    public boolean send(Envelope message) {
+        return mSent.add(message);
+    }
+
+    @Override
+    public void close() {}
+
+    /** Returns the pushes sent so far and forgets them. */
+    List<ConfigurationPush> takePushes() {
+        List<ConfigurationPush> pushes =
+                mSent.stream()
+                        .filter(Envelope::hasConfigurationPush)
+                        .map(Envelope::getConfigurationPush)
+                        .toList();
+        mSent.clear();
+        return pushes;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/control/SingleMemberLog.java
@@ -0,0 +1,48 @@
+package org.jacinthwharf.process.control;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.consensus.LogStatus;
+import org.jacinthwharf.process.consensus.ProposeOutcome;
+import org.jacinthwharf.process.consensus.ReplicatedLog;
+import org.jacinthwharf.process.consensus.StateMachine;
+import org.jacinthwharf.wire.generated.MemberId;
+
+/** A group of one member without files; used on one thread. Leads unless told otherwise. */
+public final class SingleMemberLog implements ReplicatedLog {
+    final StateMachine mStateMachine;
+    Optional<VmId> mLeader = Optional.of(VmId.of("vm1"));
+    boolean mLeads = true;
+    private long mIndex;
+
+    public SingleMemberLog(StateMachine stateMachine) {
+        mStateMachine = stateMachine;
+    }
+
+    @Override
+    public CompletableFuture<ProposeOutcome> propose(ByteString command) {
+        return CompletableFuture.completedFuture(
+                mLeads
+                        ? new ProposeOutcome.Applied(mStateMachine.apply(++mIndex, command))
+                        : new ProposeOutcome.NotLeader(mLeader));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> confirmLeadership() {
+        return CompletableFuture.completedFuture(mLeads);
+    }
+
+    @Override
+    public LogStatus status() {
+        return new LogStatus(
+                mLeads ? LogStatus.Role.LEADER : LogStatus.Role.FOLLOWER,
+                3,
+                mLeader,
+                mIndex,
+                mIndex,
+                ImmutableList.of(MemberId.newBuilder().setVmId("vm1").setDiskId("d1").build()));
+    }
+}
