Add operator interface, claim relay, admin port and control process

Cause: operators and routers need a way to the replicated state through any member, and the process needs its wiring.

Ruled out: a follower that proposes through a forwarded HTTP call (a redirect with 307 leaves the outcome with the client, who holds the command id); a witness vote on every member (two members could vote for two coordinators); adding a failure domain that exists (it would put one that is out back into service).

Change: ClaimRelay, OperatorApi with OperatorServer, StatusReport, ControlMessages, ControlProcess with LogFactory, MovePlanner and LeaseWitness for the parts of other packages, AdminServer in process.metrics.

Trials on a scratch copy, mechanism off -> failing test: token not checked, or a prefix of it accepted -> wrongOrMissingTokenChangesNothing; no conflict check -> exactlyOneOfRacingOperatorsWins...; no reply memory -> commandSentAgainGetsTheSameAnswer...; silent routers ignored -> orderIsPendingUntilEveryRouter...; forwarded claims forwarded again -> forwardedClaimIsNotForwardedAgain.

Conclusion: the process runs with a single-member log in memory; a run with the Raft log and with real routers is open.

--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/control/ControlProcess.java
@@ -0,0 +1,209 @@
+package org.jacinthwharf.process.control;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.jacinthwharf.connection.Links;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.consensus.LogStatus;
+import org.jacinthwharf.process.consensus.ReplicatedLog;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.process.metrics.AdminServer;
+import org.jacinthwharf.process.metrics.FleetMetrics;
+import org.jacinthwharf.process.settings.ControlPeer;
+import org.jacinthwharf.process.settings.ControlSettings;
+import org.jacinthwharf.wire.generated.Command;
+import org.jacinthwharf.wire.generated.Hello;
+import org.jacinthwharf.wire.generated.MoveStep;
+
+/**
+ * A control process: state machine, log, links, operator interface and admin port.
+ *
+ * <p>{@link #start} and {@link #close} may be called from any thread but the event loop, once each.
+ * Invariant: all decisions are made on the event loop.
+ */
+public final class ControlProcess implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ControlSettings mSettings;
+    private final VmId mSelf;
+    private final EventLoop mLoop;
+    private final Links mLinks;
+    private final ControlStateMachine mState;
+    private final LogFactory.OpenLog mOpenLog;
+    private final ConfigurationPublisher mPublisher;
+    private final ClaimRelay mClaims;
+    private final MovePlanner mPlanner;
+    private final ControlMessages mMessages;
+    private final OperatorServer mOperatorServer;
+    private final AdminServer mAdminServer;
+    private volatile boolean mReady;
+    private volatile boolean mStopping;
+
+    private ControlProcess(
+            ControlSettings settings,
+            OperatorToken token,
+            EventLoop loop,
+            FleetMetrics metrics,
+            Parts parts) {
+        mSettings = settings;
+        mSelf = VmId.of(settings.vmId());
+        mLoop = loop;
+        mLinks = new Links(hello(settings, loop.nowMillis()), loop, metrics);
+        mState = new ControlStateMachine(parts.claims());
+        mPlanner = parts.planner();
+        MemberLinks members = new MemberLinks();
+        mOpenLog = parts.logFactory().open(mState, loop, members);
+        ReplicatedLog log = mOpenLog.log();
+        mPublisher = new ConfigurationPublisher(mState, log, loop);
+        mState.setListener(mPublisher);
+        mClaims = new ClaimRelay(log, loop, members::find);
+        mMessages =
+                new ControlMessages(
+                        loop,
+                        metrics,
+                        members,
+                        mOpenLog,
+                        mPublisher,
+                        mClaims,
+                        mPlanner,
+                        parts.witness());
+        OperatorApi api =
+                new OperatorApi(
+                        token, log, mState, this::status, this::httpOrigin, loop::nowMillis);
+        mOperatorServer =
+                new OperatorServer(
+                        settings.listen().http().toSocketAddress(),
+                        call ->
+                                CompletableFuture.supplyAsync(() -> api.handle(call), loop)
+                                        .thenCompose(answer -> answer));
+        mAdminServer =
+                new AdminServer(
+                        settings.listen().admin().toSocketAddress(),
+                        metrics,
+                        () -> mReady && !mStopping,
+                        () ->
+                                CompletableFuture.supplyAsync(
+                                        () -> status().toPrettyString() + "\n", loop));
+    }
+
+    /**
+     * The parts that other packages provide.
+     *
+     * <p>Immutable.
+     *
+     * @param logFactory opens the replicated log
+     * @param claims claims of request keys, empty
+     * @param planner decides the steps of version moves
+     * @param witness votes for the control group in failure domains
+     */
+    public record Parts(
+            LogFactory logFactory, Claims claims, MovePlanner planner, LeaseWitness witness) {}
+
+    /**
+     * Starts a control process.
+     *
+     * @return the process, when its ports are bound
+     * @throws IOException if the token file cannot be read or a port cannot be bound
+     */
+    public static ControlProcess start(
+            ControlSettings settings, EventLoop loop, FleetMetrics metrics, Parts parts)
+            throws IOException {
+        OperatorToken token = OperatorToken.read(Path.of(settings.operatorTokenFile()));
+        ControlProcess process =
+                CompletableFuture.supplyAsync(
+                                () -> new ControlProcess(settings, token, loop, metrics, parts),
+                                loop)
+                        .join();
+        try {
+            process.listen();
+        } catch (IOException e) {
+            process.close();
+            throw e;
+        }
+        LOGGER.atInfo().log("event=control_started vm=%s", settings.vmId());
+        return process;
+    }
+
+    private void listen() throws IOException {
+        try {
+            mLinks.accept(mSettings.listen().peer().toSocketAddress(), mMessages).join();
+        } catch (CompletionException e) {
+            throw new IOException("cannot bind " + mSettings.listen().peer(), e.getCause());
+        }
+        for (ControlPeer p : mSettings.controlMembers()) {
+            if (!p.vmId().equals(mSettings.vmId())) {
+                mLinks.keepOpen(p.peer().toSocketAddress(), mMessages);
+            }
+        }
+        mOperatorServer.start();
+        mAdminServer.start();
+        mLoop.scheduleRepeatedly(ConfigurationPublisher.INTERVAL, this::tick);
+    }
+
+    private void tick() {
+        mPublisher.tick();
+        mClaims.tick();
+        mReady = mPublisher.isConfirmed();
+        ReplicatedLog log = mOpenLog.log();
+        if (log.status().role() == LogStatus.Role.LEADER) {
+            long now = mLoop.nowMillis();
+            for (MoveStep step : mPlanner.tick(mState.configuration(), now)) {
+                LOGGER.atInfo().log(
+                        "event=move_step model=%s move=%s phase=%s share=%d reason='%s'",
+                        step.getModel(),
+                        step.getMoveId(),
+                        step.getPhase(),
+                        step.getShareBasisPoints(),
+                        step.getReason());
+                Command command = Command.newBuilder().setNowMillis(now).setMoveStep(step).build();
+                log.propose(command.toByteString());
+            }
+        }
+    }
+
+    private ObjectNode status() {
+        return StatusReport.status(
+                mState.configuration(),
+                mPublisher.isConfirmed(),
+                mSelf,
+                mOpenLog.log().status(),
+                mSettings.routers(),
+                mPublisher.reported());
+    }
+
+    private Optional<String> httpOrigin(VmId member) {
+        return mSettings.controlMembers().stream()
+                .filter(p -> p.vmId().equals(member.value()))
+                .map(p -> "http://" + p.http())
+                .findFirst();
+    }
+
+    private static Hello hello(ControlSettings settings, long nowMillis) {
+        return Hello.newBuilder()
+                .setVmId(settings.vmId())
+                .setIncarnation(nowMillis)
+                .setFailureDomain(settings.failureDomain())
+                .setRole("control")
+                .build();
+    }
+
+    /**
+     * Stops the process: open requests of operators get their answers, then links and log close.
+     *
+     * <p>The event loop stays open; it belongs to the caller, who closes it next.
+     */
+    @Override
+    public void close() {
+        mStopping = true;
+        mOperatorServer.close();
+        mLinks.close();
+        CompletableFuture.runAsync(mOpenLog::close, mLoop).join();
+        mAdminServer.close();
+        LOGGER.atInfo().log("event=control_stopped vm=%s", mSettings.vmId());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/control/LogFactory.java
@@ -0,0 +1,30 @@
+package org.jacinthwharf.process.control;
+
+import org.jacinthwharf.connection.Link;
+import org.jacinthwharf.process.consensus.ReplicatedLog;
+import org.jacinthwharf.process.consensus.StateMachine;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.wire.generated.Envelope;
+
+/** Opens the replicated log of a control process. */
+public interface LogFactory {
+    /**
+     * Opens the log and restores the state machine from it; called once, on the event loop.
+     *
+     * @param members sends messages to the other members
+     */
+    OpenLog open(StateMachine stateMachine, EventLoop loop, MemberLinks members);
+
+    /** A log that is open. All methods are called on the event loop. */
+    interface OpenLog extends AutoCloseable {
+        /** Returns the log for proposals. */
+        ReplicatedLog log();
+
+        /** Handles a consensus message (the {@code raft_} payloads) from another member. */
+        void onMessage(Link from, Envelope message);
+
+        /** Closes the files; nothing is called after that. */
+        @Override
+        void close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/control/MovePlanner.java
@@ -0,0 +1,33 @@
+package org.jacinthwharf.process.control;
+
+import java.util.List;
+import org.jacinthwharf.wire.generated.Configuration;
+import org.jacinthwharf.wire.generated.MoveStep;
+import org.jacinthwharf.wire.generated.VersionEvidence;
+
+/**
+ * Decides the next steps of version moves from the evidence of routers.
+ *
+ * <p>Called on the event loop only. {@link #tick} is called on the leader only; evidence arrives at
+ * every member, so that a new leader can continue.
+ */
+public interface MovePlanner {
+    /** Takes the counts of one router incarnation. */
+    void onEvidence(VersionEvidence evidence, long nowNanos);
+
+    /** Returns the steps to commit now, at most one per move. */
+    List<MoveStep> tick(Configuration configuration, long nowMillis);
+
+    /** Returns a planner that takes no step. */
+    static MovePlanner idle() {
+        return new MovePlanner() {
+            @Override
+            public void onEvidence(VersionEvidence evidence, long nowNanos) {}
+
+            @Override
+            public List<MoveStep> tick(Configuration configuration, long nowMillis) {
+                return List.of();
+            }
+        };
+    }
+}
