Add operator commands

Cause: operators need commands that work through any control member, and that scripts can rely on by exit code.

Ruled out: Jetty's own redirects and authentication handling (a 401 without a challenge became an exception instead of a refusal; redirects are followed by the client so that headers and command id stay the same).

Change: customer, failure-domain, model, move and status commands, ControlClient, StatusText; Main is the picocli root.

Conclusion: the commands work against a control process with one member; a redirect by a real follower is tested at the interface only, not end to end.

--- /dev/null
+++ b/src/main/java/org/jacinthwharf/cli/StatusText.java
@@ -0,0 +1,91 @@
+package org.jacinthwharf.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Joiner;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Lists;
+import java.time.Instant;
+import java.util.Locale;
+
+/** Renders the status that control members answer as text for people. Stateless, thread-safe. */
+final class StatusText {
+    private StatusText() {}
+
+    static String status(JsonNode status) {
+        StringBuilder text = new StringBuilder();
+        JsonNode control = status.path("control");
+        line(
+                text,
+                "revision %s (%s), answered by %s",
+                status.path("revision").asText(),
+                status.path("confirmed").asBoolean()
+                        ? "confirmed by the leader"
+                        : "NOT confirmed by a leader",
+                control.path("self").asText());
+        line(text, "%ncontrol members, term %s", control.path("term").asText());
+        for (JsonNode m : control.path("members")) {
+            line(text, "  %-20s %s", m.path("vmId").asText(), m.path("role").asText());
+        }
+        line(text, "%nfailure domains");
+        status.path("failureDomains").forEach(f -> line(text, "  %s", failureDomain(f)));
+        line(text, "%ncustomers");
+        for (JsonNode c : status.path("customers")) {
+            line(
+                    text,
+                    "  %-20s weight %s %s",
+                    c.path("id").asText(),
+                    c.path("weight").asText(),
+                    c.path("homeRegion").asText());
+        }
+        line(text, "%nmodels");
+        for (JsonNode m : status.path("models")) {
+            line(text, "  %-20s %s", m.path("id").asText(), m.path("currentVersion").asText());
+        }
+        line(text, "%nversion moves");
+        text.append(moves(status.path("moves")));
+        line(text, "%nrouters");
+        for (JsonNode r : status.path("routers")) {
+            line(text, "  %-20s revision %s", r.path("vmId").asText(), r.path("revision").asText());
+        }
+        return text.toString();
+    }
+
+    private static String failureDomain(JsonNode f) {
+        ImmutableList<JsonNode> waiting = ImmutableList.copyOf(f.path("unconfirmed"));
+        String open =
+                waiting.isEmpty()
+                        ? ""
+                        : ", not confirmed by "
+                                + Joiner.on(' ').join(Lists.transform(waiting, JsonNode::asText));
+        return "%-20s %-10s %s%s"
+                .formatted(
+                        f.path("id").asText(),
+                        f.path("out").asBoolean() ? "out" : "in service",
+                        f.path("state").asText(),
+                        open);
+    }
+
+    static String moves(JsonNode moves) {
+        StringBuilder text = new StringBuilder();
+        moves.forEach(m -> line(text, "  %s", move(m)));
+        return text.isEmpty() ? "  none\n" : text.toString();
+    }
+
+    static String move(JsonNode m) {
+        String reason = m.path("reason").asText();
+        return "%s: %s from %s to %s, %s, share %.2f%%, deadline %s%s"
+                .formatted(
+                        m.path("id").asText(),
+                        m.path("model").asText(),
+                        m.path("fromVersion").asText(),
+                        m.path("toVersion").asText(),
+                        m.path("phase").asText(),
+                        m.path("shareBasisPoints").asInt() / 100.0,
+                        Instant.ofEpochMilli(m.path("deadlineMillis").asLong()),
+                        reason.isEmpty() ? "" : ", reason: " + reason);
+    }
+
+    private static void line(StringBuilder text, String format, Object... arguments) {
+        text.append(String.format(Locale.ROOT, format, arguments).stripTrailing()).append('\n');
+    }
+}
