--- a/src/main/java/org/jacinthwharf/cli/Main.java
+++ b/src/main/java/org/jacinthwharf/cli/Main.java
@@ -9,7 +9,16 @@
         mixinStandardHelpOptions = true,
         version = "jacinthwharf 0.1.0",
         description = "Router fleet for backend servers that many customers share.",
-        subcommands = {CheckCommand.class, StandInCommand.class, FreePortsCommand.class})
+        subcommands = {
+            CheckCommand.class,
+            StatusCommand.class,
+            CustomerCommand.class,
+            FailureDomainCommand.class,
+            ModelCommand.class,
+            MoveCommand.class,
+            StandInCommand.class,
+            FreePortsCommand.class
+        })
 public final class Main {
     private Main() {}
 
