Add Raft: decisions, storage and driver

Ruled out: first member sets written from settings (disk ids are random, so settings cannot name them); a founder that starts alone on a flag (a flag left in place after a lost disk founds a second group); votes by messages sent before their sync; a change to wire.proto (a vote request with last index 0 can only come from an empty member and so marks the founding round).

--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/consensus/Outbox.java
@@ -0,0 +1,89 @@
+package org.jacinthwharf.process.consensus;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.Message;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.wire.generated.Envelope;
+import org.jacinthwharf.wire.generated.LogEntry;
+import org.jacinthwharf.wire.generated.MemberId;
+import org.jacinthwharf.wire.generated.RaftAppend;
+import org.jacinthwharf.wire.generated.RaftAppendReply;
+import org.jacinthwharf.wire.generated.RaftJoin;
+import org.jacinthwharf.wire.generated.RaftSnapshot;
+import org.jacinthwharf.wire.generated.RaftSnapshotReply;
+import org.jacinthwharf.wire.generated.RaftVoteReply;
+import org.jacinthwharf.wire.generated.RaftVoteRequest;
+
+/**
+ * Collects effects until the driver takes them.
+ *
+ * <p>Not thread-safe. Invariant: every effect is handed out exactly once, in the order it arose.
+ */
+final class Outbox {
+    private final List<RaftEffects.Outgoing> mMessages = new ArrayList<>();
+    private final List<LogEntry> mCommitted = new ArrayList<>();
+    private final List<RaftEffects.ConfirmedRead> mReads = new ArrayList<>();
+    private Optional<RaftSnapshot> mRestore = Optional.empty();
+
+    void send(MemberId to, Message payload) {
+        envelope(to, payload).ifPresent(mMessages::add);
+    }
+
+    void sendAll(List<RaftEffects.Outgoing> messages) {
+        mMessages.addAll(messages);
+    }
+
+    void committed(LogEntry entry) {
+        mCommitted.add(entry);
+    }
+
+    void confirmed(List<RaftEffects.ConfirmedRead> reads) {
+        mReads.addAll(reads);
+    }
+
+    /** Replaces the state machine's state; entries not handed out yet are part of the snapshot. */
+    void restore(RaftSnapshot snapshot) {
+        mCommitted.clear();
+        mRestore = Optional.of(snapshot);
+    }
+
+    RaftEffects take(WriteBuffer writes, StoredTerm term) {
+        Optional<StorageBatch> batch = writes.nextBatch(term, mMessages);
+        RaftEffects result =
+                new RaftEffects(
+                        ImmutableList.copyOf(mMessages),
+                        batch,
+                        mRestore,
+                        ImmutableList.copyOf(mCommitted),
+                        ImmutableList.copyOf(mReads));
+        mMessages.clear();
+        mCommitted.clear();
+        mReads.clear();
+        mRestore = Optional.empty();
+        return result;
+    }
+
+    /** Returns the payload in its envelope, or empty if the receiver's VM id is malformed. */
+    static Optional<RaftEffects.Outgoing> envelope(MemberId to, Message payload) {
+        Envelope.Builder e = Envelope.newBuilder();
+        if (payload instanceof RaftAppend m) {
+            e.setRaftAppend(m);
+        } else if (payload instanceof RaftAppendReply m) {
+            e.setRaftAppendReply(m);
+        } else if (payload instanceof RaftSnapshot m) {
+            e.setRaftSnapshot(m);
+        } else if (payload instanceof RaftSnapshotReply m) {
+            e.setRaftSnapshotReply(m);
+        } else if (payload instanceof RaftVoteRequest m) {
+            e.setRaftVoteRequest(m);
+        } else if (payload instanceof RaftVoteReply m) {
+            e.setRaftVoteReply(m);
+        } else {
+            e.setRaftJoin((RaftJoin) payload);
+        }
+        return VmId.parse(to.getVmId()).map(vm -> new RaftEffects.Outgoing(vm, e.build()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftLog.java
@@ -0,0 +1,166 @@
+package org.jacinthwharf.process.consensus;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkState;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import org.jacinthwharf.wire.generated.LogEntry;
+import org.jacinthwharf.wire.generated.MemberId;
+import org.jacinthwharf.wire.generated.MemberSet;
+import org.jacinthwharf.wire.generated.RaftSnapshot;
+
+/**
+ * The log in memory: the latest snapshot and all entries after it.
+ *
+ * <p>Not thread-safe. Invariants: indexes of entries are consecutive and start after the snapshot;
+ * {@link #members} is the last member set in the log, committed or not.
+ */
+final class RaftLog {
+    private final List<LogEntry> mEntries = new ArrayList<>();
+    private RaftSnapshot mSnapshot;
+    private ImmutableList<MemberId> mMembers = ImmutableList.of();
+    private long mMembersIndex;
+
+    RaftLog(RaftSnapshot snapshot, List<LogEntry> entries) {
+        mSnapshot = snapshot;
+        findMembers();
+        entries.forEach(this::append);
+    }
+
+    RaftSnapshot snapshot() {
+        return mSnapshot;
+    }
+
+    long snapshotIndex() {
+        return mSnapshot.getLastIndex();
+    }
+
+    long lastIndex() {
+        return snapshotIndex() + mEntries.size();
+    }
+
+    long lastTerm() {
+        return termAt(lastIndex());
+    }
+
+    /** Returns whether nothing was ever appended, as in a member that belongs to no group yet. */
+    boolean isEmpty() {
+        return lastIndex() == 0;
+    }
+
+    ImmutableList<MemberId> members() {
+        return mMembers;
+    }
+
+    /** Returns the index of the entry that set {@link #members}, at least the snapshot's. */
+    long membersIndex() {
+        return mMembersIndex;
+    }
+
+    /** Returns whether {@code count} of the members are a majority. */
+    boolean isMajority(int count) {
+        return count > mMembers.size() / 2;
+    }
+
+    /** Returns whether the entry at {@code index} is here with the given term. */
+    boolean matches(long index, long term) {
+        return index >= snapshotIndex() && index <= lastIndex() && termAt(index) == term;
+    }
+
+    /** Returns the term of an entry that is not before the snapshot's last one. */
+    long termAt(long index) {
+        return index == snapshotIndex() ? mSnapshot.getLastTerm() : entry(index).getTerm();
+    }
+
+    LogEntry entry(long index) {
+        checkArgument(
+                index > snapshotIndex() && index <= lastIndex(),
+                "entry %s is not in (%s, %s]",
+                index,
+                snapshotIndex(),
+                lastIndex());
+        return mEntries.get((int) (index - snapshotIndex() - 1));
+    }
+
+    /** Returns entries from {@code from} on, at least one if there is one, up to the limits. */
+    ImmutableList<LogEntry> slice(long from, long to, int maxBytes) {
+        ImmutableList.Builder<LogEntry> result = ImmutableList.builder();
+        long bytes = 0;
+        for (long i = from; i <= to; i++) {
+            LogEntry e = entry(i);
+            bytes += e.getSerializedSize();
+            if (i > from && bytes > maxBytes) {
+                break;
+            }
+            result.add(e);
+        }
+        return result.build();
+    }
+
+    void append(LogEntry e) {
+        checkArgument(
+                e.getIndex() == lastIndex() + 1,
+                "entry %s does not follow %s",
+                e.getIndex(),
+                lastIndex());
+        mEntries.add(e);
+        if (e.hasMembers()) {
+            mMembers = ImmutableList.copyOf(e.getMembers().getMembersList());
+            mMembersIndex = e.getIndex();
+        }
+    }
+
+    /** Removes the entry at {@code index} and all after it. */
+    void truncateFrom(long index) {
+        checkState(index > snapshotIndex(), "entry %s is in the snapshot", index);
+        mEntries.subList((int) (index - snapshotIndex() - 1), mEntries.size()).clear();
+        findMembers();
+    }
+
+    /** Replaces the entries up to {@code index} by a snapshot with the given state. */
+    RaftSnapshot compact(long index, ByteString data) {
+        RaftSnapshot s =
+                RaftSnapshot.newBuilder()
+                        .setLastIndex(index)
+                        .setLastTerm(termAt(index))
+                        .setMembers(MemberSet.newBuilder().addAllMembers(membersAt(index)))
+                        .setData(data)
+                        .build();
+        install(s);
+        return s;
+    }
+
+    /** Takes a snapshot; keeps the entries after it if its last entry is here, otherwise none. */
+    void install(RaftSnapshot s) {
+        if (matches(s.getLastIndex(), s.getLastTerm())) {
+            mEntries.subList(0, (int) (s.getLastIndex() - snapshotIndex())).clear();
+        } else {
+            mEntries.clear();
+        }
+        mSnapshot = s.toBuilder().clearLeader().clearTerm().build();
+        findMembers();
+    }
+
+    private List<MemberId> membersAt(long index) {
+        for (long i = index; i > snapshotIndex(); i--) {
+            if (entry(i).hasMembers()) {
+                return entry(i).getMembers().getMembersList();
+            }
+        }
+        return mSnapshot.getMembers().getMembersList();
+    }
+
+    private void findMembers() {
+        mMembers = ImmutableList.copyOf(membersAt(lastIndex()));
+        mMembersIndex = snapshotIndex();
+        for (long i = lastIndex(); i > snapshotIndex(); i--) {
+            if (entry(i).hasMembers()) {
+                mMembersIndex = i;
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftMessages.java
@@ -0,0 +1,46 @@
+package org.jacinthwharf.process.consensus;
+
+import org.jacinthwharf.wire.generated.MemberId;
+import org.jacinthwharf.wire.generated.RaftAppendReply;
+import org.jacinthwharf.wire.generated.RaftSnapshotReply;
+import org.jacinthwharf.wire.generated.RaftVoteRequest;
+
+/** Builds the messages of a member. Stateless and thread-safe. */
+final class RaftMessages {
+    private RaftMessages() {}
+
+    /** Returns an address for a message to whichever identity runs on {@code vm}. */
+    static MemberId anyOn(String vm) {
+        return MemberId.newBuilder().setVmId(vm).build();
+    }
+
+    static RaftVoteRequest voteRequest(
+            MemberId candidate, long term, RaftLog log, boolean preVote) {
+        return RaftVoteRequest.newBuilder()
+                .setTerm(term)
+                .setCandidate(candidate)
+                .setLastIndex(log.lastIndex())
+                .setLastTerm(log.lastTerm())
+                .setPreVote(preVote)
+                .build();
+    }
+
+    static RaftAppendReply appendReply(
+            MemberId member, long term, boolean success, long index, long round) {
+        return RaftAppendReply.newBuilder()
+                .setTerm(term)
+                .setMember(member)
+                .setSuccess(success)
+                .setMatchIndex(index)
+                .setRound(round)
+                .build();
+    }
+
+    static RaftSnapshotReply snapshotReply(MemberId member, long term, long lastIndex) {
+        return RaftSnapshotReply.newBuilder()
+                .setTerm(term)
+                .setMember(member)
+                .setLastIndex(lastIndex)
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
@@ -0,0 +1,37 @@
+package org.jacinthwharf.process.consensus;
+
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/** Intervals of the protocol in nanoseconds. Stateless and thread-safe. */
+final class RaftTimings {
+    /** Without a leader's message for this long, a member considers the leader lost. */
+    static final long ELECTION_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    /** A seventh of the election timeout, so that several lost messages cause no election. */
+    static final long HEARTBEAT = TimeUnit.MILLISECONDS.toNanos(150);
+
+    /** Interval at which a member outside the group asks to join. */
+    static final long JOIN_INTERVAL = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** A snapshot that was not acknowledged for this long is sent again. */
+    static final long SNAPSHOT_RESEND = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+    // Keeps the waits of two members apart by more than a round trip and a disk sync.
+    private static final long ELECTION_SPREAD = TimeUnit.MILLISECONDS.toNanos(500);
+    // Shorter than the election timeout, so that a split vote is repeated within about 2 s of the
+    // loss of the leader; longer than two round trips and a slow sync.
+    private static final long CANDIDATE_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private RaftTimings() {}
+
+    /** Returns how long a follower waits for a leader. */
+    static long followerWait(RandomGenerator random) {
+        return ELECTION_TIMEOUT + random.nextLong(ELECTION_SPREAD);
+    }
+
+    /** Returns how long a candidate waits for votes before it asks again. */
+    static long candidateWait(RandomGenerator random) {
+        return CANDIDATE_TIMEOUT + random.nextLong(ELECTION_SPREAD);
+    }
+}
