--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/consensus/RaftRecoveryTest.java
@@ -0,0 +1,91 @@
+package org.jacinthwharf.process.consensus;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.jacinthwharf.process.consensus.SimulatedGroup.Member;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against lost commands, second groups and disturbed leaders after single faults (G11). */
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+final class RaftRecoveryTest {
+    private final SimulatedGroup mGroup = SimulatedGroup.started(11, "a", "b", "c");
+
+    private void repair(String vm) {
+        Member m = mGroup.mMembers.get(vm);
+        m.loseDisk();
+        m.start();
+        mGroup.runUntil(
+                "repair of " + vm,
+                () ->
+                        m.status().members().size() == 3
+                                && m.status().role() != LogStatus.Role.LEARNER);
+    }
+
+    @Test
+    void secondMemberLostRightAfterRepairLosesNoCommand() {
+        mGroup.commitOne();
+        repair("b");
+        mGroup.mMembers.get(mGroup.leader().orElseThrow().mVm.equals("a") ? "a" : "c").loseDisk();
+        mGroup.commitOne();
+        mGroup.healAndCheckAcknowledged();
+    }
+
+    @Test
+    void twoLostDisksFoundNoSecondGroup() {
+        mGroup.commitOne();
+        mGroup.mMembers.get("a").loseDisk();
+        mGroup.mMembers.get("b").loseDisk();
+        mGroup.mMembers.get("a").start();
+        mGroup.mMembers.get("b").start();
+        mGroup.run(Duration.ofSeconds(30));
+        assertThat(mGroup.leader()).isEmpty();
+    }
+
+    @Test
+    void cutOffMemberComesBackWithoutRaisingTheTerm() {
+        Member leader = mGroup.leader().orElseThrow();
+        String other = leader.mVm.equals("c") ? "b" : "c";
+        long term = leader.status().term();
+        mGroup.cut(other, true);
+        mGroup.run(Duration.ofSeconds(60));
+        mGroup.cut(other, false);
+        mGroup.run(Duration.ofSeconds(5));
+        assertThat(leader.status().term()).isEqualTo(term);
+        assertThat(leader.status().role()).isEqualTo(LogStatus.Role.LEADER);
+    }
+
+    @Test
+    void lostLeaderIsReplacedWithinTwentyFiveHundredMillis() {
+        mGroup.commitOne();
+        mGroup.leader().orElseThrow().crash();
+        mGroup.run(Duration.ofMillis(2_500));
+        assertThat(mGroup.leader()).isPresent();
+    }
+
+    @Test
+    void cutOffLeaderNeverConfirmsItsLeadership() {
+        Member old = mGroup.leader().orElseThrow();
+        mGroup.cut(old.mVm, true);
+        var read = old.mNode.confirmLeadership();
+        mGroup.run(Duration.ofSeconds(3));
+        assertThat(read.join()).isFalse();
+    }
+
+    @Test
+    void restartAfterThousandCommandsReplaysLessThanOneSnapshotInterval() {
+        for (int i = 0; i < 1_200; i++) {
+            mGroup.propose();
+            mGroup.run(Duration.ofMillis(2));
+        }
+        mGroup.commitOne();
+        mGroup.healAndCheckAcknowledged();
+        Member m = mGroup.leader().orElseThrow();
+        m.crash();
+        m.start();
+        mGroup.healAndCheckAcknowledged();
+        assertThat(mGroup.mAcknowledged.size()).isAtLeast(1_000);
+        assertThat(m.mReplayed).isLessThan(RaftNode.SNAPSHOT_ENTRIES);
+    }
+}
--- a/src/test/java/org/jacinthwharf/process/consensus/RaftScheduleTest.java
+++ b/src/test/java/org/jacinthwharf/process/consensus/RaftScheduleTest.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 import org.jacinthwharf.process.consensus.SimulatedGroup.Member;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against lost, reverted or diverging commands under random faults (G11). */
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 final class RaftScheduleTest {
     private static final int ROUNDS = 60;
 
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/consensus/RaftStorageTest.java
@@ -0,0 +1,94 @@
+package org.jacinthwharf.process.consensus;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.Random;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.wire.generated.LogEntry;
+import org.jacinthwharf.wire.generated.RaftSnapshot;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against synced records that are lost and damaged records that are used (G11). */
+final class RaftStorageTest {
+    private static final VmId VM = VmId.of("a");
+
+    private static StorageOpening open(DataFolder folder) {
+        return RaftStorage.open(folder, VM, () -> "disk");
+    }
+
+    private static StorageBatch entry(long index) {
+        return new StorageBatch(
+                Optional.of(StoredTerm.NONE.withTerm(index)),
+                ImmutableList.of(LogEntry.newBuilder().setIndex(index).setTerm(index).build()),
+                Optional.empty());
+    }
+
+    /** Writes batches until the folder stops the process; returns the last written index. */
+    private static long writeUntilStopped(CrashingFolder folder) throws Exception {
+        long written = 0;
+        try {
+            RaftStorage s = ((StorageOpening.Opened) open(folder)).storage();
+            for (long i = 1; i <= 4; i++) {
+                s.write(entry(i));
+                written = i;
+            }
+            RaftSnapshot snapshot =
+                    RaftSnapshot.newBuilder().setLastIndex(3).setLastTerm(3).build();
+            s.write(
+                    new StorageBatch(
+                            Optional.of(StoredTerm.NONE.withTerm(4)),
+                            entry(4).entries(),
+                            Optional.of(snapshot)));
+        } catch (CrashingFolder.StoppedException expected) {
+            // The chosen step was reached.
+        }
+        return written;
+    }
+
+    @Test
+    void stopAtAnyStepLosesNoSyncedBatch() throws Exception {
+        for (int step = 0; step < 30; step++) {
+            for (int seed = 0; seed < 8; seed++) {
+                CrashingFolder folder = new CrashingFolder(new Random(seed));
+                folder.stopAfter(step);
+                long written = writeUntilStopped(folder);
+                folder.losePower();
+                StorageOpening opening = open(folder);
+                assertThat(opening).isInstanceOf(StorageOpening.Opened.class);
+                RaftStorage.Recovered r = ((StorageOpening.Opened) opening).storage().recovered();
+                assertThat(r.snapshot().getLastIndex() + r.entries().size()).isAtLeast(written);
+                assertThat(r.term().term()).isAtLeast(written);
+            }
+        }
+    }
+
+    @Test
+    void damageBeforeTheLastRecordRefusesTheIdentityAndTornTailDoesNot() throws Exception {
+        CrashingFolder folder = new CrashingFolder(new Random(1));
+        RaftStorage s = ((StorageOpening.Opened) open(folder)).storage();
+        s.write(entry(1));
+        int middle = folder.bytes("log").length - 1;
+        s.write(entry(2));
+        int last = folder.bytes("log").length - 1;
+        folder.damage("log", last);
+        RaftStorage.Recovered r = ((StorageOpening.Opened) open(folder)).storage().recovered();
+        assertThat(r.entries()).hasSize(1);
+        s.write(entry(2));
+        folder.damage("log", middle);
+        assertThat(((StorageOpening.Refused) open(folder)).reason())
+                .isEqualTo(StorageOpening.Reason.CORRUPT);
+    }
+
+    @Test
+    void secondProcessNeverUsesTheSameFolder(@TempDir Path path) throws Exception {
+        StorageOpening first = RaftStorage.open(path, VM, () -> "disk");
+        StorageOpening second = RaftStorage.open(path, VM, () -> "disk");
+        assertThat(((StorageOpening.Refused) second).reason())
+                .isEqualTo(StorageOpening.Reason.LOCKED);
+        ((StorageOpening.Opened) first).storage().close();
+    }
+}
