--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/membership/MemberIds.java
@@ -0,0 +1,32 @@
+package org.jacinthwharf.process.membership;
+
+import java.util.Optional;
+import org.jacinthwharf.id.RouterIncarnation;
+import org.jacinthwharf.id.VmId;
+
+/** Reads router incarnations as messages carry them. Stateless and thread-safe. */
+final class MemberIds {
+    private MemberIds() {}
+
+    /** Returns the incarnation in the form {@code vmId/incarnation}, or empty if malformed. */
+    static Optional<RouterIncarnation> parse(String text) {
+        int slash = text.indexOf('/');
+        if (slash < 0) {
+            return Optional.empty();
+        }
+        try {
+            long incarnation = Long.parseLong(text.substring(slash + 1));
+            return incarnation < 0
+                    ? Optional.empty()
+                    : VmId.parse(text.substring(0, slash))
+                            .map(vm -> RouterIncarnation.of(vm, incarnation));
+        } catch (NumberFormatException expected) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the voter that {@code text} stands for: a VM id, or the witness. */
+    static String voterOf(String text) {
+        return parse(text).map(member -> member.vm().value()).orElse(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/membership/Owners.java
@@ -0,0 +1,34 @@
+package org.jacinthwharf.process.membership;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+import org.jacinthwharf.id.BackendServerId;
+import org.jacinthwharf.id.VmId;
+
+/**
+ * Chooses the owner of a backend server by rendezvous hashing, so that a change of one member moves
+ * only the servers that it gains or loses.
+ *
+ * <p>Stateless and thread-safe. The hash is part of the protocol: all routers must agree.
+ */
+public final class Owners {
+    private Owners() {}
+
+    /** Returns the owner of {@code server}, or empty without members. Costs one hash per member. */
+    public static Optional<VmId> ownerOf(BackendServerId server, Collection<VmId> members) {
+        return members.stream()
+                .max(
+                        Comparator.<VmId>comparingLong(member -> score(server, member))
+                                .thenComparing(Comparator.naturalOrder()));
+    }
+
+    private static long score(BackendServerId server, VmId member) {
+        // The separator is no id character, so no two pairs hash the same text.
+        return Hashing.sipHash24()
+                .hashString(server.value() + "|" + member.value(), StandardCharsets.UTF_8)
+                .asLong();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/membership/DomainSimulation.java
@@ -0,0 +1,225 @@
+package org.jacinthwharf.process.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.jacinthwharf.id.BackendServerId;
+import org.jacinthwharf.id.FailureDomainId;
+import org.jacinthwharf.id.RouterIncarnation;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.wire.generated.Envelope;
+
+/** Routers of one failure domain over a faulty network, with clocks that differ by up to 1%. */
+final class DomainSimulation {
+    static final long MILLIS = 1_000_000L;
+
+    final Random mRandom;
+    final DomainVoters mVoters;
+    final List<Node> mNodes = new ArrayList<>();
+    double mLoss;
+    boolean mLongDelays;
+    long mNow;
+    private final Map<Object, VmId> mOwners = new HashMap<>();
+    LeaseVoter mWitness;
+    int mWitnessSide;
+    private final PriorityQueue<Message> mNetwork =
+            new PriorityQueue<>(Comparator.comparingLong(Message::at));
+
+    record Message(long at, String from, String to, Envelope envelope) {}
+
+    static final class Node {
+        VmId mVm;
+        double mRate;
+        long mOffset;
+        long mIncarnation;
+        DomainView mView;
+        long mFrozenUntil;
+        int mSide;
+        final List<Envelope> mWaiting = new ArrayList<>();
+    }
+
+    DomainSimulation(int routers, long seed) {
+        mRandom = new Random(seed);
+        mVoters =
+                DomainVoters.of(
+                        FailureDomainId.of("solola"),
+                        IntStream.range(0, routers).mapToObj(i -> VmId.of("vm-" + i)).toList());
+        for (VmId vm : mVoters.routers()) {
+            Node node = new Node();
+            node.mVm = vm;
+            node.mRate = 1 + 0.01 * mRandom.nextInt(2);
+            node.mOffset = mRandom.nextInt(1_000_000) * MILLIS;
+            mNodes.add(node);
+            start(node);
+        }
+        restartWitness();
+    }
+
+    long localTime(Node node) {
+        return node.mOffset + (long) (mNow * node.mRate);
+    }
+
+    void start(Node node) {
+        node.mWaiting.clear();
+        node.mIncarnation++;
+        node.mView =
+                new DomainView(
+                        mVoters,
+                        RouterIncarnation.of(node.mVm, node.mIncarnation),
+                        mRandom,
+                        localTime(node));
+    }
+
+    void restartWitness() {
+        mWitness = new LeaseVoter(DomainVoters.WITNESS, mNow, LeaseTimes.LEASE_NANOS);
+    }
+
+    /** Applies one random fault now and then. */
+    void injectFault() {
+        Node node = mNodes.get(mRandom.nextInt(mNodes.size()));
+        switch (mRandom.nextInt(9)) {
+            case 0 -> node.mView = null;
+            case 1, 2 -> start(node);
+            case 3, 4 -> node.mFrozenUntil = mNow + mRandom.nextInt(4000) * MILLIS;
+            case 5 -> {
+                mNodes.forEach(each -> each.mSide = mRandom.nextInt(2));
+                mWitnessSide = mRandom.nextInt(2);
+            }
+            case 6 -> heal();
+            case 7 -> {
+                mLoss = mRandom.nextInt(4) / 10.0;
+                mLongDelays = mRandom.nextBoolean();
+            }
+            default -> restartWitness();
+        }
+    }
+
+    void heal() {
+        mNodes.forEach(each -> each.mSide = 0);
+        mWitnessSide = 0;
+        mLoss = 0;
+        mLongDelays = false;
+    }
+
+    void reviveAll() {
+        heal();
+        mNodes.stream().filter(node -> node.mView == null).forEach(this::start);
+    }
+
+    /** Advances real time by 5 ms. */
+    void step() {
+        mNow += 5 * MILLIS;
+        while (!mNetwork.isEmpty() && mNetwork.peek().at() <= mNow) {
+            deliver(mNetwork.poll());
+        }
+        for (Node node : mNodes) {
+            if (node.mView != null && mNow >= node.mFrozenUntil) {
+                List<Envelope> waiting = List.copyOf(node.mWaiting);
+                node.mWaiting.clear();
+                waiting.forEach(envelope -> receive(node, envelope));
+                send(node.mVm.value(), node.mView.onTick(localTime(node)));
+            }
+        }
+    }
+
+    private void deliver(Message message) {
+        if (message.to().equals(DomainVoters.WITNESS)) {
+            Envelope.Builder reply = Envelope.newBuilder();
+            if (message.envelope().hasViewRenewal()) {
+                reply.setViewAck(mWitness.onRenewal(message.envelope().getViewRenewal(), mNow));
+            } else {
+                reply.setLeaseVote(
+                        mWitness.onVoteRequest(message.envelope().getLeaseVoteRequest(), mNow));
+            }
+            post(DomainVoters.WITNESS, message.from(), reply.build());
+            return;
+        }
+        Node node = node(message.to());
+        if (node.mView != null) {
+            node.mWaiting.add(message.envelope());
+        }
+    }
+
+    private void receive(Node node, Envelope envelope) {
+        long now = localTime(node);
+        send(
+                node.mVm.value(),
+                switch (envelope.getPayloadCase()) {
+                    case LEASE_VOTE_REQUEST ->
+                            node.mView.onVoteRequest(envelope.getLeaseVoteRequest(), now);
+                    case LEASE_VOTE -> node.mView.onVote(envelope.getLeaseVote(), now);
+                    case VIEW_RENEWAL -> node.mView.onRenewal(envelope.getViewRenewal(), now);
+                    case VIEW_ACK -> node.mView.onAck(envelope.getViewAck(), now);
+                    default -> throw new IllegalStateException("unexpected " + envelope);
+                });
+    }
+
+    void send(String from, List<ViewOutput> outputs) {
+        for (ViewOutput output : outputs) {
+            if (output instanceof ViewOutput.Send send) {
+                post(from, send.to(), send.envelope());
+            }
+        }
+    }
+
+    private void post(String from, String to, Envelope envelope) {
+        if (side(from) != side(to) || mRandom.nextDouble() < mLoss) {
+            return;
+        }
+        boolean slow = mLongDelays && mRandom.nextInt(4) == 0;
+        long delay = (slow ? mRandom.nextInt(3000) : 1 + mRandom.nextInt(3)) * MILLIS;
+        mNetwork.add(new Message(mNow + delay, from, to, envelope));
+    }
+
+    private int side(String id) {
+        return id.equals(DomainVoters.WITNESS) ? mWitnessSide : node(id).mSide;
+    }
+
+    Node node(String vm) {
+        return mNodes.stream()
+                .filter(each -> each.mVm.value().equals(vm))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns the routers that may grant slots of {@code server} now; frozen ones count. */
+    List<String> owners(BackendServerId server) {
+        return mNodes.stream()
+                .filter(node -> node.mView != null)
+                .filter(node -> mayGrant(node, server))
+                .map(node -> node.mVm + "/" + node.mIncarnation)
+                .toList();
+    }
+
+    private boolean mayGrant(Node node, BackendServerId server) {
+        long now = localTime(node);
+        return node.mView
+                .view()
+                .filter(view -> view.isValid(now) && now >= view.previousLapsedAtNanos())
+                .map(
+                        view ->
+                                mOwners.computeIfAbsent(
+                                        List.of(server, view.members()),
+                                        ignored ->
+                                                Owners.ownerOf(server, view.memberVms())
+                                                        .orElse(null)))
+                .filter(node.mVm::equals)
+                .isPresent();
+    }
+
+    /** Returns whether all routers hold a lease of one view whose members they are. */
+    boolean isWhole() {
+        return mNodes.stream()
+                .allMatch(
+                        node ->
+                                node.mView != null
+                                        && !node.mView.isStandalone(localTime(node))
+                                        && node.mView.view().get().members().size()
+                                                == mNodes.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/membership/DomainViewTest.java
@@ -0,0 +1,130 @@
+package org.jacinthwharf.process.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import org.jacinthwharf.id.BackendServerId;
+import org.jacinthwharf.id.VmId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against two routers that grant slots of one backend server, and against no owner. */
+final class DomainViewTest {
+    private static final List<BackendServerId> SERVERS =
+            IntStream.range(0, 12).mapToObj(i -> BackendServerId.of("server-" + i)).toList();
+
+    /** Guards G3: two owners would each fill a cold server up to its limit. */
+    @Property(tries = 120, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void noTwoRoutersOwnOneServerUnderFaults(
+            @ForAll @IntRange(min = 2, max = 5) int routers, @ForAll long seed) {
+        DomainSimulation simulation = new DomainSimulation(routers, seed);
+        run(simulation, 3_000, false);
+        run(simulation, 40_000, true);
+        simulation.reviveAll();
+        // Freezes of up to 4 s, messages of up to 3 s, then three lease durations to elect.
+        run(simulation, 4_000 + 3_000 + 6_000, false);
+        assertWithMessage("routers=%s seed=%s", routers, seed).that(simulation.isWhole()).isTrue();
+    }
+
+    private static void run(DomainSimulation simulation, int millis, boolean faults) {
+        for (int i = 0; i < millis / 5; i++) {
+            if (faults && simulation.mRandom.nextInt(100) == 0) {
+                simulation.injectFault();
+            }
+            simulation.step();
+            for (BackendServerId server : SERVERS) {
+                assertThat(simulation.owners(server).size()).isAtMost(1);
+            }
+        }
+    }
+
+    /** Guards the failure table: a lost router leaves its servers without owner for long. */
+    @Property(tries = 50, seed = "4712", shrinking = ShrinkingMode.OFF)
+    void everyServerHasAnOwnerAgainAfterTheLossOfOneRouter(
+            @ForAll @IntRange(min = 2, max = 5) int routers, @ForAll long seed) {
+        DomainSimulation simulation = new DomainSimulation(routers, seed);
+        run(simulation, 8_000, false);
+        assertThat(simulation.isWhole()).isTrue();
+        simulation.mNodes.get((int) Math.floorMod(seed, (long) routers)).mView = null;
+        // Election within two lease durations, then one for leases of the earlier view.
+        run(simulation, 6_000, false);
+        for (BackendServerId server : SERVERS) {
+            assertWithMessage("routers=%s seed=%s %s", routers, seed, server)
+                    .that(simulation.owners(server))
+                    .hasSize(1);
+        }
+    }
+
+    /** Guards 3.5: one router of a pair that is cut off must know that it has no valid view. */
+    @Test
+    void lastRouterOfPairWithoutWitnessIsStandaloneOnceItsLeaseLapsed() {
+        DomainSimulation simulation = new DomainSimulation(2, 7);
+        run(simulation, 8_000, false);
+        simulation.mWitnessSide = 1;
+        simulation.mNodes.get(1).mView = null;
+        run(simulation, 2_000, false);
+        DomainSimulation.Node left = simulation.mNodes.get(0);
+        assertThat(left.mView.isStandalone(simulation.localTime(left))).isTrue();
+    }
+
+    /** Guards small sites: a failure domain with one router must not wait for anybody. */
+    @Test
+    void singleRouterWorksAlone() {
+        DomainSimulation simulation = new DomainSimulation(1, 7);
+        simulation.mWitnessSide = 1;
+        run(simulation, 3_500, false);
+        assertThat(simulation.owners(SERVERS.get(0))).hasSize(1);
+    }
+
+    /** Guards the failure table: a process that wakes up must not act on its old lease. */
+    @Test
+    void wokenCoordinatorFindsItsLeaseLapsedBeforeItActs() {
+        DomainSimulation simulation = new DomainSimulation(3, 7);
+        run(simulation, 8_000, false);
+        DomainSimulation.Node coordinator =
+                simulation.mNodes.stream()
+                        .filter(node -> node.mView.isCoordinator(simulation.localTime(node)))
+                        .findFirst()
+                        .orElseThrow();
+        long woken = simulation.localTime(coordinator) + LeaseTimes.LEASE_NANOS;
+        List<ViewOutput> first = coordinator.mView.onTick(woken);
+        assertThat(first).containsExactly(new ViewOutput.Standalone());
+        assertThat(coordinator.mView.isCoordinator(woken)).isFalse();
+    }
+
+    /** Guards section 7: a planned stop must not cost a lease duration without an owner. */
+    @Test
+    void leavingRouterHandsItsServersOverWithinTwoRounds() {
+        DomainSimulation simulation = new DomainSimulation(3, 7);
+        run(simulation, 8_000, false);
+        DomainSimulation.Node leaving =
+                simulation.mNodes.stream()
+                        .filter(node -> !node.mView.isCoordinator(simulation.localTime(node)))
+                        .findFirst()
+                        .orElseThrow();
+        simulation.send(leaving.mVm.value(), leaving.mView.leave(simulation.localTime(leaving)));
+        run(simulation, 1_200, false);
+        for (BackendServerId server : SERVERS) {
+            assertThat(simulation.owners(server)).hasSize(1);
+            assertThat(simulation.owners(server).get(0)).doesNotContain(leaving.mVm.value());
+        }
+    }
+
+    /** Guards against moves of servers that a change of one member does not concern. */
+    @Property(tries = 50, seed = "4713")
+    void onlyServersOfTheLostMemberMove(@ForAll @IntRange(min = 2, max = 30) int members) {
+        DomainVoters all = new DomainSimulation(members, 1).mVoters;
+        List<VmId> vms = all.routers().asList();
+        for (int i = 0; i < 200; i++) {
+            BackendServerId server = BackendServerId.of("s" + i);
+            var before = Owners.ownerOf(server, vms).orElseThrow();
+            var after = Owners.ownerOf(server, vms.subList(1, members)).orElseThrow();
+            assertThat(after.equals(before) || before.equals(vms.get(0))).isTrue();
+        }
+    }
+}
