--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/outcome/AttemptId.java
@@ -0,0 +1,45 @@
+package org.jacinthwharf.request.outcome;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.primitives.Ints;
+import java.util.Optional;
+import org.jacinthwharf.id.RequestId;
+
+/**
+ * Names one attempt of one request; sent to the backend server and echoed by it.
+ *
+ * <p>Immutable. Written as {@code requestId/attempt}.
+ *
+ * @param request the request
+ * @param attempt number of the attempt, from 1
+ */
+public record AttemptId(RequestId request, int attempt) {
+    /**
+     * Creates an id.
+     *
+     * @throws IllegalArgumentException if {@code attempt} is not positive
+     */
+    public AttemptId {
+        checkArgument(attempt > 0, "attempt not positive: %s", attempt);
+    }
+
+    /** Returns the id, or empty if {@code value} is malformed; for input from outside. */
+    public static Optional<AttemptId> parse(String value) {
+        int slash = value.lastIndexOf('/');
+        if (slash < 0) {
+            return Optional.empty();
+        }
+        Integer attempt = Ints.tryParse(value.substring(slash + 1));
+        if (attempt == null || attempt <= 0) {
+            return Optional.empty();
+        }
+        return RequestId.parse(value.substring(0, slash)).map(r -> new AttemptId(r, attempt));
+    }
+
+    /** Returns the form that {@link #parse} reads. */
+    @Override
+    public String toString() {
+        return request + "/" + attempt;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/outcome/NotRunProof.java
@@ -0,0 +1,25 @@
+package org.jacinthwharf.request.outcome;
+
+import com.google.common.base.Ascii;
+
+/** Recognises answers by which a server proves that it did not run a call. Thread-safe. */
+public final class NotRunProof {
+    /** Header that turns a 503 into a proof. */
+    public static final String HEADER = "X-Not-Run";
+
+    private static final int TOO_EARLY = 425;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private NotRunProof() {}
+
+    /**
+     * Returns whether the answer is a proof: status 425, or 503 with {@code X-Not-Run: true}.
+     *
+     * @param notRunHeader value of {@link #HEADER}, empty if the answer has none
+     */
+    public static boolean isProof(int status, String notRunHeader) {
+        return status == TOO_EARLY
+                || (status == SERVICE_UNAVAILABLE
+                        && Ascii.equalsIgnoreCase(notRunHeader.trim(), "true"));
+    }
+}
