Test the second claim after a proven not-run, and bound the budget test

Cause: reusing a claim for a second send failed no test, and a budget without a limit made RetryBudgetTest run for ever instead of failing.

Ruled out: showing the reuse by executions; the server proved that the first send did not run, so there is never more than one.

Change: RequestAttemptsTest.keyedCallIsClaimedAgainAfterTheServerProvedNotRun; RetryBudgetTest stops counting at 10,000 retries in a second.

--- a/src/test/java/org/jacinthwharf/request/outcome/RequestAttemptsTest.java
+++ b/src/test/java/org/jacinthwharf/request/outcome/RequestAttemptsTest.java
@@ -7,6 +7,8 @@
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.process.metrics.RetryReason;
 import org.jacinthwharf.request.outcome.Decision.ServerChoice;
+import org.jacinthwharf.wire.generated.ClaimOutcome;
+import org.jacinthwharf.wire.generated.ClaimReply;
 import org.junit.jupiter.api.Test;
 
 /** Guards the retry rules of calls without a claim. */
@@ -51,6 +53,18 @@
                 .isEqualTo(finish(new RequestOutcome.Unknown(RefusalReason.OUTCOME_UNKNOWN)));
     }
 
+    /** One claim permits one send; the claim of a call that was sent must end first (3.3). */
+    @Test
+    void keyedCallIsClaimedAgainAfterTheServerProvedNotRun() {
+        RequestAttempts keyed = attempts(CallKind.KEYED);
+        keyed.start(0);
+        keyed.onClaim(ClaimReply.newBuilder().setOutcome(ClaimOutcome.CLAIM_GRANTED).build(), 0);
+        keyed.beforeSend(0);
+        keyed.onEvent(new AttemptEvent.ServerNotRun(1), 0);
+        assertThat(keyed.beforeSend(0)).isEqualTo(new Decision.Wait());
+        assertThat(keyed.claim(0)).isInstanceOf(Decision.Claim.class);
+    }
+
     /** A plain 503 proves nothing; reading it as a proof would repeat calls that ran. */
     @Test
     void onlyTheStatedAnswersProveThatNothingRan() {
--- a/src/test/java/org/jacinthwharf/request/outcome/RetryBudgetTest.java
+++ b/src/test/java/org/jacinthwharf/request/outcome/RetryBudgetTest.java
@@ -31,7 +31,7 @@
                     budget.onRequest(nowNanos);
                     requests[second]++;
                 }
-                while (budget.tryRetry(nowNanos)) {
+                while (retries[second] < 10_000 && budget.tryRetry(nowNanos)) {
                     retries[second]++;
                 }
             }
