--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
@@ -0,0 +1,137 @@
+package org.jacinthwharf.request.admission;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import org.jacinthwharf.id.FailureDomainId;
+import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.id.RouterIncarnation;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.wire.generated.Demand;
+import org.jacinthwharf.wire.generated.Envelope;
+import org.jacinthwharf.wire.generated.PoolOffer;
+
+/**
+ * Tells owners what waits in this router.
+ *
+ * <p>Every owner of the own failure domain is told of all waiting requests once per exchange round.
+ * Owners elsewhere are told of the excess: requests that waited for a whole round (region) or two
+ * (other regions) beyond the free slots nearer by. Invariant: an owner with standing demand is told
+ * when nothing waits any more. Not thread-safe.
+ */
+final class DemandSender<R> {
+    private record Standing(VmId owner, PoolId pool) {}
+
+    private final RouterIncarnation mSelf;
+    private final OfferBook mOffers;
+    private final RequestQueues<R> mQueues;
+    private final DemandLog mLog = new DemandLog();
+    private final Set<FailureDomainId> mOut = new HashSet<>();
+    private Set<Standing> mStanding = new HashSet<>();
+    // Owners asked since the last report, and before it: their grants may still be on the way.
+    private Set<VmId> mAsked = new TreeSet<>();
+    private Set<VmId> mAskedBefore = new TreeSet<>();
+    private Set<VmId> mAskedLongBefore = new TreeSet<>();
+
+    DemandSender(RouterIncarnation self, OfferBook offers, RequestQueues<R> queues) {
+        mSelf = self;
+        mOffers = offers;
+        mQueues = queues;
+    }
+
+    void onOffer(PoolOffer offer, long nowNanos) {
+        mOffers.accept(offer, nowNanos);
+    }
+
+    void setOut(FailureDomainId domain, boolean out) {
+        mOffers.setOut(domain, out);
+        if (out) {
+            mOut.add(domain);
+        } else {
+            mOut.remove(domain);
+        }
+    }
+
+    boolean isOut(String domain) {
+        return FailureDomainId.parse(domain).map(mOut::contains).orElse(false);
+    }
+
+    OptionalLong usableUntil(long sequence, long nowNanos) {
+        return mLog.usableUntil(sequence, nowNanos);
+    }
+
+    long closedSequence(long nowNanos) {
+        return mLog.closedSequence(nowNanos);
+    }
+
+    /**
+     * Returns the owners asked during the last three report intervals. One report after the grant
+     * use limit would do; the others make up for lost ones.
+     */
+    Set<VmId> takeAsked() {
+        Set<VmId> asked = new TreeSet<>(mAsked);
+        asked.addAll(mAskedBefore);
+        asked.addAll(mAskedLongBefore);
+        mAskedLongBefore = mAskedBefore;
+        mAskedBefore = mAsked;
+        mAsked = new TreeSet<>();
+        return asked;
+    }
+
+    /** Asks for an offered free slot at once, without waiting for the next round. */
+    void onArrival(PoolId pool, long nowNanos, List<RouterAction<R>> actions) {
+        if (mQueues.waiting(pool) > 0) {
+            mOffers.takeFree(pool, nowNanos)
+                    .ifPresent(owner -> send(pool, owner, nowNanos, actions));
+        }
+    }
+
+    /** Repeats the standing demand of every pool. */
+    void round(long nowNanos, List<RouterAction<R>> actions) {
+        Set<Standing> before = mStanding;
+        mStanding = new HashSet<>();
+        for (PoolId pool : mQueues.pools()) {
+            int free = 0;
+            for (OfferBook.Distance distance : OfferBook.Distance.values()) {
+                long waited = distance.ordinal() * AdmissionTimes.EXCHANGE_ROUND;
+                int excess = mQueues.waitingSince(pool, nowNanos - waited) - free;
+                if (excess > 0) {
+                    for (VmId owner : mOffers.owners(pool, distance, nowNanos)) {
+                        send(pool, owner, excess, nowNanos, actions);
+                    }
+                }
+                free += mOffers.freeSlots(pool, distance, nowNanos);
+            }
+        }
+        before.removeAll(mStanding);
+        before.stream()
+                .sorted(Comparator.comparing(Standing::owner))
+                .forEach(s -> send(s.pool(), s.owner(), 0, nowNanos, actions));
+    }
+
+    /** Sends what waits in the pool now to one owner. */
+    void send(PoolId pool, VmId owner, long nowNanos, List<RouterAction<R>> actions) {
+        send(pool, owner, mQueues.waiting(pool), nowNanos, actions);
+    }
+
+    private void send(
+            PoolId pool, VmId owner, int waiting, long nowNanos, List<RouterAction<R>> actions) {
+        Demand.Builder demand =
+                Demand.newBuilder()
+                        .setRouter(mSelf.vm().value())
+                        .setRouterIncarnation(mSelf.incarnation())
+                        .setSequence(mLog.next(nowNanos))
+                        .setPool(Pools.toMessage(pool))
+                        .setWaiting(waiting);
+        if (waiting > 0) {
+            demand.addAllHeads(mQueues.heads(pool));
+            mStanding.add(new Standing(owner, pool));
+            mAsked.add(owner);
+        }
+        Envelope envelope = Envelope.newBuilder().setDemand(demand).build();
+        actions.add(new RouterAction.Send<>(owner, envelope));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/admission/KnownServer.java
@@ -0,0 +1,21 @@
+package org.jacinthwharf.request.admission;
+
+import org.jacinthwharf.id.BackendServerId;
+import org.jacinthwharf.id.PoolId;
+
+/**
+ * What a router knows of a backend server of its own failure domain.
+ *
+ * <p>Immutable.
+ *
+ * @param warm whether the server announced itself warm in this incarnation
+ * @param usable false while the server is suspect, leaving or out
+ */
+public record KnownServer(
+        BackendServerId server,
+        long incarnation,
+        String address,
+        PoolId pool,
+        boolean warm,
+        int warmLimit,
+        boolean usable) {}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/admission/Pools.java
@@ -0,0 +1,29 @@
+package org.jacinthwharf.request.admission;
+
+import java.util.Optional;
+import org.jacinthwharf.id.ModelId;
+import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.id.VersionId;
+import org.jacinthwharf.wire.generated.Pool;
+
+/** Converts pools between values and messages. */
+final class Pools {
+    private Pools() {}
+
+    static Pool toMessage(PoolId pool) {
+        return Pool.newBuilder()
+                .setModel(pool.model().value())
+                .setVersion(pool.version().value())
+                .build();
+    }
+
+    /** Returns the pool, or empty if a part is malformed. */
+    static Optional<PoolId> parse(Pool pool) {
+        return parse(pool.getModel(), pool.getVersion());
+    }
+
+    static Optional<PoolId> parse(String model, String version) {
+        return ModelId.parse(model)
+                .flatMap(m -> VersionId.parse(version).map(v -> PoolId.of(m, v)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/admission/SlotNumbers.java
@@ -0,0 +1,26 @@
+package org.jacinthwharf.request.admission;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import org.jacinthwharf.id.RouterIncarnation;
+
+/**
+ * Gives numbers to slots that are distinct over owners and their incarnations, since slots of
+ * earlier owners are reported to later ones.
+ *
+ * <p>The upper half is a hash of the router incarnation; two incarnations share it with probability
+ * 2^-32. Not thread-safe.
+ */
+final class SlotNumbers {
+    private long mNext;
+
+    SlotNumbers(RouterIncarnation router) {
+        int hash =
+                Hashing.murmur3_128().hashString(router.toString(), StandardCharsets.UTF_8).asInt();
+        mNext = (long) hash << Integer.SIZE;
+    }
+
+    long next() {
+        return mNext++;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/request/admission/ColdLimitTest.java
@@ -0,0 +1,156 @@
+package org.jacinthwharf.request.admission;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.OptionalDouble;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.wire.generated.ServerState;
+
+/**
+ * Guards G3: more requests than the cold limit at a cold server, from grants of two owners, grants
+ * used late, requests nobody reported, or routers that act alone.
+ */
+final class ColdLimitTest {
+    private static final int ROUTERS = 4;
+    private static final int COLD_LIMIT = 2;
+    private static final int WARM_LIMIT = 12;
+
+    private int mJobs;
+
+    /** Returns a fleet under load that exceeds the cold limit many times. */
+    private Fleet fleet(long seed, ServerState state) {
+        Fleet fleet = new Fleet(seed, ROUTERS);
+        fleet.mLoss = 0.01;
+        fleet.mMaxDelayNanos = 20 * Fleet.MILLI;
+        fleet.addServer("s0", state, COLD_LIMIT, WARM_LIMIT, 0);
+        for (int i = 0; i < ROUTERS; i++) {
+            FleetRouter router = fleet.router(i);
+            fleet.every(
+                    40 * Fleet.MILLI,
+                    () ->
+                            router.offer(
+                                    CustomerId.of("c" + mJobs % 5),
+                                    new Fleet.Job("j" + mJobs++, 300 * fleet.mRandom.nextDouble()),
+                                    OptionalDouble.empty(),
+                                    20 * Fleet.SECOND));
+        }
+        return fleet;
+    }
+
+    private static FleetServer server(Fleet fleet) {
+        return fleet.mServers.values().iterator().next();
+    }
+
+    /** Moves ownership from router 0 to router 1, as a view change after a lease expiry does. */
+    private static void takeOver(Fleet fleet) {
+        fleet.setOwner(server(fleet), fleet.router(1), fleet.mNow);
+    }
+
+    private static void assertWithinLimit(Fleet fleet, int startedBefore) {
+        assertWithMessage("requests above the cold limit")
+                .that(server(fleet).mMostAboveColdLimit)
+                .isEqualTo(0);
+        // A limit that holds because nothing runs would prove nothing.
+        assertWithMessage("requests started")
+                .that(server(fleet).mStarted)
+                .isGreaterThan(startedBefore);
+    }
+
+    @Property(tries = 10, seed = "201")
+    void firstStartNeverExceedsColdLimit(@ForAll long seed) {
+        Fleet fleet = fleet(seed, ServerState.COLD);
+        fleet.runFor(20 * Fleet.SECOND);
+        assertWithinLimit(fleet, 0);
+    }
+
+    @Property(tries = 10, seed = "202")
+    void turningColdAdmitsNothingUntilFewerThanTheLimitRun(@ForAll long seed) {
+        Fleet fleet = fleet(seed, ServerState.WARM);
+        fleet.runFor(10 * Fleet.SECOND);
+        server(fleet).set(ServerState.COLD);
+        int started = server(fleet).mStarted;
+        fleet.runFor(20 * Fleet.SECOND);
+        assertWithinLimit(fleet, started);
+        assertWithMessage("recalled requests")
+                .that(fleet.mOutcomes.stream().filter(o -> o.startsWith("cancel")).count())
+                .isGreaterThan(0L);
+    }
+
+    @Property(tries = 10, seed = "203")
+    void grantAfterOwnerIsKilledNeverExceedsColdLimit(@ForAll long seed) {
+        Fleet fleet = fleet(seed, ServerState.COLD);
+        fleet.runFor(10 * Fleet.SECOND);
+        // Its requests go on running, since the server does not notice.
+        fleet.router(0).mAlive = false;
+        fleet.runFor(Fleet.LEASE);
+        takeOver(fleet);
+        int started = server(fleet).mStarted;
+        fleet.runFor(140 * Fleet.SECOND);
+        assertWithinLimit(fleet, started);
+    }
+
+    @Property(tries = 10, seed = "204")
+    void grantAfterOwnerIsFrozenAndWokenNeverExceedsColdLimit(@ForAll long seed) {
+        Fleet fleet = fleet(seed, ServerState.COLD);
+        fleet.runFor(10 * Fleet.SECOND);
+        fleet.router(0).freezeFor(6 * Fleet.SECOND);
+        fleet.router(2).freezeFor(5 * Fleet.SECOND);
+        fleet.runFor(Fleet.LEASE);
+        takeOver(fleet);
+        int started = server(fleet).mStarted;
+        fleet.runFor(20 * Fleet.SECOND);
+        assertWithinLimit(fleet, started);
+    }
+
+    @Property(tries = 10, seed = "205")
+    void grantAfterOwnerIsCutOffNeverExceedsColdLimit(@ForAll long seed) {
+        Fleet fleet = fleet(seed, ServerState.COLD);
+        fleet.runFor(10 * Fleet.SECOND);
+        fleet.router(0).mSide = 1;
+        fleet.runFor(Fleet.LEASE);
+        fleet.router(0).act(fleet.router(0).mAdmission.onViewLost(fleet.mNow));
+        takeOver(fleet);
+        int started = server(fleet).mStarted;
+        fleet.runFor(10 * Fleet.SECOND);
+        fleet.router(0).mSide = 0;
+        fleet.setOwner(server(fleet), fleet.router(1), fleet.mNow);
+        fleet.runFor(10 * Fleet.SECOND);
+        assertWithinLimit(fleet, started);
+    }
+
+    @Property(tries = 10, seed = "206")
+    void losingOneRouterWhileTheOwnerStaysNeverExceedsColdLimit(@ForAll long seed) {
+        Fleet fleet = fleet(seed, ServerState.COLD);
+        fleet.runFor(10 * Fleet.SECOND);
+        fleet.router(2).mAlive = false;
+        fleet.router(0)
+                .actOwner(fleet.router(0).mOwner.onRouterLost(fleet.router(2).mVm, fleet.mNow));
+        int started = server(fleet).mStarted;
+        fleet.runFor(140 * Fleet.SECOND);
+        assertWithinLimit(fleet, started);
+    }
+
+    @Property(tries = 5, seed = "207")
+    void routersWithoutViewStartNothingAtColdServersAndShareTheWarmLimit(@ForAll long seed) {
+        Fleet fleet = fleet(seed, ServerState.COLD);
+        fleet.mRouters.values().forEach(r -> r.mSide = r.mVm.hashCode());
+        for (FleetRouter router : fleet.mRouters.values()) {
+            FleetServer server = server(fleet);
+            fleet.runFor(Fleet.SECOND);
+            router.mAdmission.onViewLost(fleet.mNow);
+            router.mAdmission.onServer(known(server, false));
+        }
+        fleet.runFor(10 * Fleet.SECOND);
+        assertWithMessage("started cold").that(server(fleet).mStarted).isEqualTo(0);
+        server(fleet).set(ServerState.WARM);
+        fleet.mRouters.values().forEach(r -> r.mAdmission.onServer(known(server(fleet), true)));
+        fleet.runFor(10 * Fleet.SECOND);
+        assertWithMessage("most running").that(server(fleet).mMostRunning).isEqualTo(WARM_LIMIT);
+    }
+
+    private static KnownServer known(FleetServer server, boolean warm) {
+        return new KnownServer(server.mId, 1, "127.0.0.1:1", Fleet.POOL, warm, WARM_LIMIT, true);
+    }
+}
