Join the decisions into router and control processes; add bin/try

Cause: admission, outcomes, consensus, control state, membership and version moves existed as decisions; no request was served end to end.

Ruled out: sharing one id between callers and backend servers (callers repeat X-Request-Id, so answers could not be told apart); reading the body limit from an exception message (SizeLimitHandler gives a typed 413).

Change: RouterProcess with its drivers, RequestRun for one request, ControlAssembly for the control process, the commands router, control and trial, and bin/try. A failed connection is reported to the server's owner (ServerFailure), which stops granting for it.

--- a/src/main/java/org/jacinthwharf/cli/Main.java
+++ b/src/main/java/org/jacinthwharf/cli/Main.java
@@ -10,6 +10,8 @@
         version = "jacinthwharf 0.1.0",
         description = "Router fleet for backend servers that many customers share.",
         subcommands = {
+            RouterCommand.class,
+            ControlCommand.class,
             CheckCommand.class,
             StatusCommand.class,
             CustomerCommand.class,
@@ -17,13 +19,18 @@
             ModelCommand.class,
             MoveCommand.class,
             StandInCommand.class,
+            TrialCommand.class,
             FreePortsCommand.class
         })
 public final class Main {
     private Main() {}
 
+    static CommandLine commandLine() {
+        return new CommandLine(new Main());
+    }
+
     /** Runs the command named by {@code args} and exits with its status. */
     public static void main(String[] args) {
-        System.exit(new CommandLine(new Main()).execute(args));
+        System.exit(commandLine().execute(args));
     }
 }
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/assembly/ControlAssembly.java
@@ -0,0 +1,113 @@
+package org.jacinthwharf.process.assembly;
+
+import com.google.common.collect.ImmutableSortedSet;
+import com.google.common.flogger.FluentLogger;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.jacinthwharf.connection.Link;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.consensus.RaftNode;
+import org.jacinthwharf.process.consensus.RaftSettings;
+import org.jacinthwharf.process.consensus.RaftStorage;
+import org.jacinthwharf.process.consensus.ReplicatedLog;
+import org.jacinthwharf.process.consensus.StateMachine;
+import org.jacinthwharf.process.consensus.StorageOpening;
+import org.jacinthwharf.process.control.ControlProcess;
+import org.jacinthwharf.process.control.LogFactory;
+import org.jacinthwharf.process.control.MemberLinks;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.process.settings.ControlSettings;
+import org.jacinthwharf.wire.generated.Envelope;
+
+/** Makes the parts of a control process. Stateless and thread-safe. */
+public final class ControlAssembly {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** Exit status when the data folder cannot be used or writing to it failed. */
+    private static final int STORAGE_FAILED = 74;
+
+    private ControlAssembly() {}
+
+    /**
+     * Returns the parts for a member whose data folder is open.
+     *
+     * @param mayFound whether this member may found the group at the first start of all members
+     */
+    public static ControlProcess.Parts parts(
+            ControlSettings settings, RaftStorage storage, boolean mayFound, EventLoop loop) {
+        return new ControlProcess.Parts(
+                (machine, l, members) -> open(settings, storage, mayFound, machine, l, members),
+                new ReplicatedClaims(),
+                new SupervisedMoves(loop),
+                new DomainWitness());
+    }
+
+    /** Opens the data folder of a member. */
+    public static StorageOpening openStorage(ControlSettings settings) {
+        return RaftStorage.open(
+                Path.of(settings.dataFolder()),
+                VmId.of(settings.vmId()),
+                () -> UUID.randomUUID().toString());
+    }
+
+    private static LogFactory.OpenLog open(
+            ControlSettings settings,
+            RaftStorage storage,
+            boolean mayFound,
+            StateMachine machine,
+            EventLoop loop,
+            MemberLinks members) {
+        ImmutableSortedSet<VmId> configured =
+                settings.controlMembers().stream()
+                        .map(m -> VmId.of(m.vmId()))
+                        .collect(
+                                ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+        ExecutorService disk =
+                Executors.newSingleThreadExecutor(
+                        task -> {
+                            Thread t = new Thread(task, "storage");
+                            t.setDaemon(true);
+                            return t;
+                        });
+        RaftNode node =
+                new RaftNode(
+                        new RaftSettings(VmId.of(settings.vmId()), configured, mayFound),
+                        storage,
+                        machine,
+                        loop,
+                        disk,
+                        members::send,
+                        new SplittableRandom(System.nanoTime()),
+                        failure -> {
+                            // What the member promised is no longer known to be on its disk.
+                            LOGGER.atSevere().withCause(failure).log("event=storage_failed");
+                            Runtime.getRuntime().halt(STORAGE_FAILED);
+                        });
+        node.start();
+        return new NodeLog(node, storage, disk);
+    }
+
+    /** The log of one member. Used on the event loop only. */
+    private record NodeLog(RaftNode node, RaftStorage storage, ExecutorService disk)
+            implements LogFactory.OpenLog {
+        @Override
+        public ReplicatedLog log() {
+            return node;
+        }
+
+        @Override
+        public void onMessage(Link from, Envelope message) {
+            node.receive(message);
+        }
+
+        @Override
+        public void close() {
+            node.stop();
+            disk.shutdown();
+        }
+    }
+}
--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -33,6 +33,9 @@
     /** Idle pooled connections older than this may have gone silent and are not used again. */
     static final Duration IDLE_LIMIT = Duration.ofSeconds(5);
 
+    /** Longest time that an attempt is waited for; above the longest deadline of a request. */
+    static final Duration REQUEST_LIMIT = Duration.ofSeconds(130);
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final HttpClient mClient;
@@ -79,6 +82,8 @@
             outgoing.tag("attempt-" + mConnectionTag.incrementAndGet());
             outgoing.headers(h -> h.put(HttpHeader.CONNECTION, "close"));
         }
+        // The silence detector watches the request; the client's idle limit is for the pool.
+        outgoing.idleTimeout(REQUEST_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
         AtomicBoolean written = new AtomicBoolean();
         outgoing.onRequestBegin(r -> written.set(true));
         outgoing.onResponseHeaders(
--- a/src/main/java/org/jacinthwharf/process/router/CallerHandler.java
+++ b/src/main/java/org/jacinthwharf/process/router/CallerHandler.java
@@ -1,8 +1,11 @@
 package org.jacinthwharf.process.router;
 
+import com.google.common.base.Throwables;
 import com.google.protobuf.ByteString;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -20,7 +23,7 @@
  * event loop.
  *
  * <p>Thread-safe. Invariant: what is malformed, too large or too slow is refused here and has no
- * other effect.
+ * other effect. Runs inside a {@code SizeLimitHandler}, which bounds the body.
  */
 final class CallerHandler extends Handler.Abstract.NonBlocking {
     private static final String ANNOUNCE_PATH = "/v1/announce";
@@ -62,7 +65,7 @@
                 new JettyExchange(request, response, callback, mLoop, mSink::isDraining);
         // The deadline of the request ends it, not the idle time of its connection.
         request.addIdleTimeoutListener(t -> false);
-        Content.Source.asByteArrayAsync(request, mLimits.maxBodyBytes())
+        Content.Source.asByteArrayAsync(request, Integer.MAX_VALUE)
                 .orTimeout(mLimits.bodyTimeoutMs(), TimeUnit.MILLISECONDS)
                 .whenComplete((body, failure) -> onBody(request, exchange, body, failure));
         return true;
@@ -98,18 +101,18 @@
     }
 
     private Refused bodyFailure(Throwable failure) {
-        if (failure instanceof TimeoutException) {
+        Throwable cause = Throwables.getRootCause(failure);
+        if (cause instanceof TimeoutException) {
             return new Refused(
                     RefusalReason.BODY_TOO_SLOW,
                     "body did not arrive within " + mLimits.bodyTimeoutMs() + " ms");
         }
-        // Content.Source reports a body above the maximum with this exception.
-        if (failure instanceof IllegalStateException) {
+        if (cause instanceof HttpException h && h.getCode() == HttpStatus.PAYLOAD_TOO_LARGE_413) {
             return new Refused(
                     RefusalReason.BODY_TOO_LARGE,
                     "body is larger than " + mLimits.maxBodyBytes() + " bytes");
         }
-        return new Refused(RefusalReason.MALFORMED_REQUEST, "body: " + failure.getMessage());
+        return new Refused(RefusalReason.MALFORMED_REQUEST, "body: " + cause.getMessage());
     }
 
     private void refuse(JettyExchange exchange, Refused refused, boolean bodyUnread) {
--- a/src/main/java/org/jacinthwharf/process/router/CallerRequest.java
+++ b/src/main/java/org/jacinthwharf/process/router/CallerRequest.java
@@ -7,13 +7,15 @@
 import org.jacinthwharf.id.ModelId;
 import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.id.RequestKey;
+import org.jacinthwharf.request.outcome.StreamEventId;
 
 /**
  * A well-formed request of a caller, with its body.
  *
  * <p>Immutable.
  *
- * @param id the caller's id of the request, or one made by the router
+ * @param id made by the router, unique; the first router's if this resumes a stream
+ * @param callerId id that the caller gave and that its answer carries; else {@code id}
  * @param customer who the request is charged to
  * @param model model or plain service that shall run it
  * @param route kind of request within the model; evidence on versions and costs is kept per route
@@ -26,10 +28,11 @@
  * @param stream whether the caller wants server-sent events
  * @param costHint the caller's estimate of the cost in cost units
  * @param deadlineMillis time that the caller gives, in milliseconds from arrival
- * @param lastEventId last event that the caller has of an interrupted stream
+ * @param lastEvent last event that the caller has of an interrupted stream
  */
 record CallerRequest(
         RequestId id,
+        String callerId,
         CustomerId customer,
         ModelId model,
         String route,
@@ -42,4 +45,4 @@
         boolean stream,
         OptionalDouble costHint,
         long deadlineMillis,
-        Optional<String> lastEventId) {}
+        Optional<StreamEventId> lastEvent) {}
--- a/src/main/java/org/jacinthwharf/process/router/RequestParser.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestParser.java
@@ -17,6 +17,7 @@
 import org.jacinthwharf.process.router.ParseResult.Parsed;
 import org.jacinthwharf.process.router.ParseResult.Refused;
 import org.jacinthwharf.process.settings.Limits;
+import org.jacinthwharf.request.outcome.StreamEventId;
 
 /**
  * Turns method, path, headers and body into a {@link CallerRequest}, or into a refusal.
@@ -83,11 +84,17 @@
             CustomerId customer,
             ModelId model) {
         String idText = header.apply(RequestHeaders.REQUEST_ID);
-        Optional<RequestId> id =
-                idText == null ? Optional.of(mNewId.get()) : RequestId.parse(idText);
-        if (id.isEmpty()) {
+        String lastEventText = header.apply(RequestHeaders.LAST_EVENT_ID);
+        Optional<StreamEventId> lastEvent =
+                lastEventText == null ? Optional.empty() : StreamEventId.parse(lastEventText);
+        if (lastEventText != null && lastEvent.isEmpty()) {
+            return malformed(RequestHeaders.LAST_EVENT_ID, lastEventText);
+        }
+        if (idText != null && RequestId.parse(idText).isEmpty()) {
             return malformed(RequestHeaders.REQUEST_ID, idText);
         }
+        // Callers may use an id twice, so the id that answers are matched by is the router's own.
+        RequestId id = lastEvent.map(StreamEventId::request).orElseGet(mNewId);
         String keyText = header.apply(RequestHeaders.REQUEST_KEY);
         Optional<RequestKey> key = keyText == null ? Optional.empty() : RequestKey.parse(keyText);
         if (keyText != null && key.isEmpty()) {
@@ -115,7 +122,8 @@
         String contentType = header.apply("Content-Type");
         return new Parsed(
                 new CallerRequest(
-                        id.get(),
+                        id,
+                        idText == null ? id.value() : idText,
                         customer,
                         model,
                         generate ? (stream ? "stream" : "whole") : serviceRoute(path),
@@ -128,7 +136,7 @@
                         stream,
                         hint == null ? OptionalDouble.empty() : OptionalDouble.of(hint),
                         deadline,
-                        Optional.ofNullable(header.apply(RequestHeaders.LAST_EVENT_ID))));
+                        lastEvent));
     }
 
     private static Optional<Boolean> idempotency(String text, boolean generate, String method) {
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -0,0 +1,454 @@
+package org.jacinthwharf.process.router;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.SizeLimitHandler;
+import org.jacinthwharf.connection.FirstByteTimes;
+import org.jacinthwharf.connection.Links;
+import org.jacinthwharf.id.BackendServerId;
+import org.jacinthwharf.id.FailureDomainId;
+import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.id.RequestId;
+import org.jacinthwharf.id.RouterIncarnation;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.control.ConfigurationFollower;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.process.membership.DomainView;
+import org.jacinthwharf.process.membership.DomainVoters;
+import org.jacinthwharf.process.membership.ServerRegistry;
+import org.jacinthwharf.process.metrics.AdminServer;
+import org.jacinthwharf.process.metrics.FleetMetrics;
+import org.jacinthwharf.process.metrics.RefusalReason;
+import org.jacinthwharf.process.settings.RouterSettings;
+import org.jacinthwharf.request.admission.CostEstimator;
+import org.jacinthwharf.request.admission.OwnerAdmission;
+import org.jacinthwharf.request.admission.QueueLimits;
+import org.jacinthwharf.request.admission.RouterAdmission;
+import org.jacinthwharf.request.admission.ServiceLedger;
+import org.jacinthwharf.request.outcome.CallKind;
+import org.jacinthwharf.request.outcome.RequestAttempts;
+import org.jacinthwharf.request.outcome.RetryBudget;
+import org.jacinthwharf.version.EvidenceBook;
+import org.jacinthwharf.version.LocalVerdict;
+import org.jacinthwharf.wire.generated.Envelope;
+import org.jacinthwharf.wire.generated.Hello;
+import org.jacinthwharf.wire.generated.PoolOffer;
+
+/**
+ * A router process: HTTP edge, links, and the decisions on one event loop.
+ *
+ * <p>{@link #start} and {@link #stop} are called once each, from a thread other than the event
+ * loop; everything else runs on the loop. Invariant: the process holds no state that it could not
+ * rebuild after a restart.
+ */
+public final class RouterProcess implements RequestServices, CallerHandler.RequestSink {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(200);
+    private static final Duration VIEW_TICK = Duration.ofMillis(100);
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Duration STOP_POLL = Duration.ofMillis(50);
+    // In cost units; stands for a customer's mean until its first request has ended.
+    private static final double DEFAULT_COST = 64;
+
+    private final RouterSettings mSettings;
+    private final RouterIncarnation mSelf;
+    private final EventLoop mLoop;
+    private final FleetMetrics mMetrics;
+    private final Links mNetwork;
+    private final PeerLinks mLinks;
+    private final HttpClient mHttpClient;
+    private final Server mHttpServer;
+    private final AdminServer mAdmin;
+    private final BackendClient mClient;
+    private final ClaimClient mClaims;
+    private final ServiceLedger mLedger;
+    private final OwnerAdmission mOwner;
+    private final RouterAdmission<RequestRun> mRouter;
+    private final AdmissionDriver mAdmission;
+    private final MembershipDriver mMembership;
+    private final ConfigurationDriver mConfiguration;
+    private final VersionDriver mVersions;
+    private final FirstByteTimes mFirstByteTimes = new FirstByteTimes();
+    private final CostEstimator mEstimator = new CostEstimator(DEFAULT_COST);
+    private final RetryBudget mBudget;
+    private final RequestRuns mRuns = new RequestRuns();
+    private final AtomicLong mIds = new AtomicLong();
+    private volatile boolean mDraining;
+
+    /**
+     * Creates a process that is not started.
+     *
+     * @param loop runs all decisions
+     */
+    public RouterProcess(RouterSettings settings, EventLoop loop, FleetMetrics metrics) {
+        mSettings = settings;
+        mLoop = loop;
+        mMetrics = metrics;
+        mSelf = RouterIncarnation.of(VmId.of(settings.vmId()), loop.nowMillis());
+        FailureDomainId domain = FailureDomainId.of(settings.failureDomain());
+        List<VmId> domainRouters =
+                settings.routers().stream()
+                        .filter(r -> r.failureDomain().equals(settings.failureDomain()))
+                        .map(r -> VmId.of(r.vmId()))
+                        .toList();
+        long now = loop.nowNanos();
+        mNetwork = new Links(hello(), loop, metrics);
+        mLinks = new PeerLinks(settings, mNetwork, this::dispatch);
+        mLedger = new ServiceLedger(mSelf.toString(), EXCHANGE_INTERVAL.toNanos());
+        mOwner = new OwnerAdmission(mSelf, domain, settings.region());
+        mRouter =
+                new RouterAdmission<>(
+                        mSelf,
+                        domain,
+                        settings.region(),
+                        domainRouters.size(),
+                        new QueueLimits(
+                                settings.limits().maxQueuedPerCustomer(),
+                                settings.limits().maxQueued()),
+                        mLedger,
+                        run -> run.request().idempotent());
+        mAdmission = new AdmissionDriver(mRouter, mOwner, loop, metrics, this::send, this::publish);
+        mMembership =
+                new MembershipDriver(
+                        mSelf,
+                        new DomainView(
+                                DomainVoters.of(domain, domainRouters),
+                                mSelf,
+                                new SplittableRandom(mSelf.incarnation()),
+                                now),
+                        new ServerRegistry(domain),
+                        mOwner,
+                        mRouter,
+                        mAdmission,
+                        mLinks,
+                        loop,
+                        metrics);
+        mConfiguration =
+                new ConfigurationDriver(
+                        mSelf.vm(),
+                        domain,
+                        new ConfigurationFollower(now),
+                        mLedger,
+                        mRouter,
+                        mMembership,
+                        mLinks,
+                        loop);
+        EvidenceBook ownBook = new EvidenceBook(mSelf.incarnation());
+        mVersions =
+                new VersionDriver(
+                        mSelf,
+                        ownBook,
+                        new LocalVerdict(ownBook, settings.routers().size()),
+                        mLinks,
+                        loop);
+        mClaims = new ClaimClient(mLinks, loop);
+        mBudget = new RetryBudget(now);
+        HttpEdge edge = new HttpEdge();
+        mHttpClient = edge.newClient();
+        mClient = new BackendClient(mHttpClient, loop);
+        mHttpServer = edge.newServer(settings.listen().http(), settings.limits(), metrics);
+        SizeLimitHandler bodyLimit = new SizeLimitHandler(settings.limits().maxBodyBytes(), -1);
+        bodyLimit.setHandler(
+                new CallerHandler(
+                        new RequestParser(settings.limits(), this::newRequestId),
+                        settings.limits(),
+                        loop,
+                        metrics,
+                        this));
+        mHttpServer.setHandler(bodyLimit);
+        RouterStatus status = new RouterStatus(mSelf, mConfiguration, mMembership, mRouter, mRuns);
+        mAdmin =
+                new AdminServer(
+                        settings.listen().admin().toSocketAddress(),
+                        metrics,
+                        () -> !mDraining && mConfiguration.isServing(),
+                        () -> CompletableFuture.supplyAsync(status::toJson, loop));
+    }
+
+    private Hello hello() {
+        return Hello.newBuilder()
+                .setVmId(mSelf.vm().value())
+                .setIncarnation(mSelf.incarnation())
+                .setFailureDomain(mSettings.failureDomain())
+                .setRole("router")
+                .build();
+    }
+
+    private RequestId newRequestId() {
+        return RequestId.of(mSelf.vm() + "." + mSelf.incarnation() + "." + mIds.incrementAndGet());
+    }
+
+    /**
+     * Opens all ports and starts to serve.
+     *
+     * @throws IOException if a port cannot be bound
+     */
+    public void start() throws IOException {
+        mLinks.onControlUp(mConfiguration::onControlUp);
+        mLinks.onControlDown(mConfiguration::onControlDown);
+        mLinks.onRouterLost(
+                vm -> mAdmission.runOwner(mOwner.onRouterLost(vm, mLoop.nowNanos())), mLoop);
+        mLinks.open();
+        mLoop.scheduleRepeatedly(VIEW_TICK, this::frequentTick);
+        mLoop.scheduleRepeatedly(EXCHANGE_INTERVAL, this::exchangeTick);
+        mLoop.scheduleRepeatedly(SECOND, this::secondTick);
+        try {
+            mHttpClient.start();
+            mHttpServer.start();
+        } catch (IOException e) {
+            throw e;
+        } catch (Exception e) {
+            // Jetty declares Exception; a port that is in use is the only expected cause.
+            throw new IOException("cannot start the HTTP edge", e);
+        }
+        mAdmin.start();
+        LOGGER.atInfo().log(
+                "event=router_started vm=%s incarnation=%d failure_domain=%s http=%s",
+                mSelf.vm(),
+                mSelf.incarnation(),
+                mSettings.failureDomain(),
+                mSettings.listen().http());
+    }
+
+    private void frequentTick() {
+        mMembership.tick();
+        mRuns.tick();
+    }
+
+    private void exchangeTick() {
+        mAdmission.tick();
+        var totals = mLedger.nextTotals();
+        if (totals.getOrigins(0).getTotalsCount() > 0) {
+            Envelope message = Envelope.newBuilder().setServiceTotals(totals).build();
+            mLinks.linkedRouters().forEach(r -> mLinks.sendToRouter(r, message));
+        }
+    }
+
+    private void secondTick() {
+        mConfiguration.tick();
+        mConfiguration.configuration().ifPresent(mVersions::tick);
+    }
+
+    // --- Messages -------------------------------------------------------------------------------
+
+    private void send(VmId to, Envelope message) {
+        if (to.equals(mSelf.vm())) {
+            mLoop.execute(() -> dispatch(to, message));
+        } else {
+            mLinks.sendToRouter(to, message);
+        }
+    }
+
+    private void publish(PoolOffer offer) {
+        Envelope message = Envelope.newBuilder().setPoolOffer(offer).build();
+        mLoop.execute(() -> dispatch(mSelf.vm(), message));
+        mLinks.linkedRouters().forEach(r -> mLinks.sendToRouter(r, message));
+    }
+
+    private void dispatch(VmId from, Envelope message) {
+        if (mAdmission.onMessage(message) || mMembership.onMessage(message)) {
+            return;
+        }
+        switch (message.getPayloadCase()) {
+            case SERVICE_TOTALS -> mLedger.merge(message.getServiceTotals(), mLoop.nowNanos());
+            case CONFIGURATION_PUSH -> mConfiguration.onPush(from, message.getConfigurationPush());
+            case REVISION_REPORT -> mConfiguration.onPeerRevision(message.getRevisionReport());
+            case CLAIM_REPLY -> mClaims.onReply(from, message.getClaimReply());
+            case CLAIM_END_REPLY -> mClaims.onEndReply(message.getClaimEndReply());
+            default ->
+                    LOGGER.atFine().log(
+                            "event=message_ignored from=%s payload=%s",
+                            from, message.getPayloadCase());
+        }
+    }
+
+    // --- Requests -------------------------------------------------------------------------------
+
+    @Override
+    public void onRequest(CallerRequest request, CallerExchange exchange) {
+        Optional<RefusalReason> refusal = refusalOf(request);
+        if (refusal.isPresent()) {
+            mMetrics.countRefusal(refusal.get());
+            exchange.refuse(
+                    refusal.get(),
+                    true,
+                    "customer " + request.customer() + ", model " + request.model());
+            return;
+        }
+        long now = mLoop.nowNanos();
+        CallKind kind =
+                request.idempotent()
+                        ? CallKind.IDEMPOTENT
+                        : request.key().isPresent() ? CallKind.KEYED : CallKind.UNKEYED;
+        RequestAttempts attempts =
+                new RequestAttempts(
+                        request.id(),
+                        kind,
+                        now + TimeUnit.MILLISECONDS.toNanos(request.deadlineMillis()),
+                        mBudget,
+                        () -> mSelf + "/" + mIds.incrementAndGet());
+        RequestRun run = new RequestRun(request, exchange, this, attempts, now);
+        mRuns.add(run);
+        run.start();
+    }
+
+    private Optional<RefusalReason> refusalOf(CallerRequest request) {
+        if (mConfiguration.revision() == 0) {
+            return Optional.of(RefusalReason.NOT_READY);
+        }
+        if (!mConfiguration.isCustomer(request.customer())) {
+            return Optional.of(RefusalReason.UNKNOWN_CUSTOMER);
+        }
+        if (mConfiguration.model(request.model()).isEmpty()) {
+            return Optional.of(RefusalReason.UNKNOWN_MODEL);
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public void onAnnouncement(ByteString body, CallerExchange exchange) {
+        mMembership.onAnnouncement(body, exchange);
+    }
+
+    @Override
+    public boolean isDraining() {
+        return mDraining;
+    }
+
+    // --- Services of a request ------------------------------------------------------------------
+
+    @Override
+    public RouterIncarnation self() {
+        return mSelf;
+    }
+
+    @Override
+    public EventLoop loop() {
+        return mLoop;
+    }
+
+    @Override
+    public FleetMetrics metrics() {
+        return mMetrics;
+    }
+
+    @Override
+    public BackendClient client() {
+        return mClient;
+    }
+
+    @Override
+    public ClaimClient claims() {
+        return mClaims;
+    }
+
+    @Override
+    public AdmissionDriver admission() {
+        return mAdmission;
+    }
+
+    @Override
+    public EvidenceSink evidence() {
+        return mVersions;
+    }
+
+    @Override
+    public FirstByteTimes firstByteTimes() {
+        return mFirstByteTimes;
+    }
+
+    @Override
+    public PoolId poolFor(CallerRequest request) {
+        return mVersions.choose(mConfiguration.model(request.model()).orElseThrow(), request);
+    }
+
+    @Override
+    public double estimate(CallerRequest request) {
+        return mEstimator.estimate(request.customer(), routeOf(request), request.costHint());
+    }
+
+    @Override
+    public void recordCost(CallerRequest request, double cost) {
+        mEstimator.record(request.customer(), routeOf(request), cost);
+    }
+
+    private static String routeOf(CallerRequest request) {
+        return request.model() + "/" + request.route();
+    }
+
+    @Override
+    public void suspect(BackendServerId server, long incarnation) {
+        mMembership.onConnectionFailed(server, incarnation);
+    }
+
+    @Override
+    public void onEnd(RequestRun run) {
+        mRuns.remove(run);
+    }
+
+    // --- Planned stop ---------------------------------------------------------------------------
+
+    /**
+     * Stops without cutting a request: readiness goes first, then open requests finish, then links
+     * and ports close. Returns after at most the drain delay plus the longest deadline.
+     */
+    public void stop() {
+        LOGGER.atInfo().log("event=router_draining vm=%s", mSelf.vm());
+        mDraining = true;
+        sleep(Duration.ofMillis(mSettings.limits().drainDelayMs()));
+        closeListener();
+        long limit =
+                System.nanoTime() + Duration.ofMillis(mSettings.limits().maxDeadlineMs()).toNanos();
+        while (openRequests() > 0 && System.nanoTime() < limit) {
+            sleep(STOP_POLL);
+        }
+        CompletableFuture.runAsync(mMembership::leave, mLoop).join();
+        // Lets the last messages (slots returned, lease given up) leave the process.
+        sleep(STOP_POLL);
+        mNetwork.close();
+        closeEdge();
+        LOGGER.atInfo().log("event=router_stopped vm=%s open=%d", mSelf.vm(), openRequests());
+    }
+
+    private int openRequests() {
+        return CompletableFuture.supplyAsync(mRuns::size, mLoop).join();
+    }
+
+    private void closeListener() {
+        try {
+            ((ServerConnector) mHttpServer.getConnectors()[0]).close();
+        } catch (RuntimeException e) {
+            LOGGER.atWarning().withCause(e).log("event=listener_close_failed");
+        }
+    }
+
+    private void closeEdge() {
+        try {
+            mHttpServer.stop();
+            mHttpClient.stop();
+        } catch (Exception e) {
+            // The process ends anyway; nothing waits for these resources.
+            LOGGER.atWarning().withCause(e).log("event=edge_close_failed");
+        }
+        mAdmin.close();
+    }
+
+    private static void sleep(Duration time) {
+        try {
+            Thread.sleep(time.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/router/VersionDriver.java
@@ -0,0 +1,224 @@
+package org.jacinthwharf.process.router;
+
+import com.google.common.math.LongMath;
+import java.math.RoundingMode;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.jacinthwharf.id.BackendServerId;
+import org.jacinthwharf.id.ModelId;
+import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.id.RouterIncarnation;
+import org.jacinthwharf.id.VersionId;
+import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.process.membership.Owners;
+import org.jacinthwharf.version.EvidenceBook;
+import org.jacinthwharf.version.LocalVerdict;
+import org.jacinthwharf.version.VersionSplit;
+import org.jacinthwharf.wire.generated.Configuration;
+import org.jacinthwharf.wire.generated.Envelope;
+import org.jacinthwharf.wire.generated.Model;
+import org.jacinthwharf.wire.generated.RouteEvidence;
+import org.jacinthwharf.wire.generated.VersionEvidence;
+
+/**
+ * Chooses versions for requests and reports how their attempts ended.
+ *
+ * <p>Used on the event loop only. Invariant: counts only grow, so that a lost or repeated report
+ * changes nothing. Memory is bounded by {@link #MAX_ROUTES}.
+ */
+final class VersionDriver implements RequestServices.EvidenceSink {
+    /** Routes beyond this number per router are counted as one. */
+    static final int MAX_ROUTES = 512;
+
+    // Bucket i holds latencies up to 2^(i/4) ms; 80 buckets reach 17 minutes.
+    private static final int BUCKETS = 80;
+    private static final String OTHER_ROUTES = "other";
+    private static final long MINUTE_NANOS = TimeUnit.MINUTES.toNanos(1);
+
+    private final RouterIncarnation mSelf;
+    private final EvidenceBook mOwnBook;
+    private final LocalVerdict mVerdict;
+    private final PeerLinks mLinks;
+    private final EventLoop mLoop;
+    private final Map<ModelId, VersionSplit> mSplits = new HashMap<>();
+    private final Map<RouteKey, RouteCounts> mRoutes = new HashMap<>();
+    private long mSequence;
+
+    private record RouteKey(PoolId pool, String route) {}
+
+    /** Growing counts of one route in one version. */
+    private static final class RouteCounts {
+        final long[] mBuckets = new long[BUCKETS];
+        final Deque<long[]> mRecentSeconds = new ArrayDeque<>();
+        long mRequests;
+        long mErrors;
+        int mRunning;
+        long mRecent;
+
+        void noteArrival(long nowNanos) {
+            long second = TimeUnit.NANOSECONDS.toSeconds(nowNanos);
+            long[] last = mRecentSeconds.peekLast();
+            if (last == null || last[0] != second) {
+                mRecentSeconds.add(new long[] {second, 0});
+            }
+            mRecentSeconds.peekLast()[1]++;
+            mRecent++;
+        }
+
+        long lastMinute(long nowNanos) {
+            long first = TimeUnit.NANOSECONDS.toSeconds(nowNanos - MINUTE_NANOS);
+            while (!mRecentSeconds.isEmpty() && mRecentSeconds.peekFirst()[0] < first) {
+                mRecent -= mRecentSeconds.removeFirst()[1];
+            }
+            return mRecent;
+        }
+    }
+
+    VersionDriver(
+            RouterIncarnation self,
+            EvidenceBook ownBook,
+            LocalVerdict verdict,
+            PeerLinks links,
+            EventLoop loop) {
+        mSelf = self;
+        mOwnBook = ownBook;
+        mVerdict = verdict;
+        mLinks = links;
+        mLoop = loop;
+    }
+
+    /** Chooses the version for a request of the model. */
+    PoolId choose(Model model, CallerRequest request) {
+        ModelId id = request.model();
+        if (!model.hasMove()) {
+            return PoolId.of(id, VersionId.of(model.getCurrentVersion()));
+        }
+        PoolId target = PoolId.of(id, VersionId.of(model.getMove().getToVersion()));
+        PoolId current = PoolId.of(id, VersionId.of(model.getMove().getFromVersion()));
+        long now = mLoop.nowNanos();
+        long recent =
+                lastMinute(target, request.route(), now)
+                        + lastMinute(current, request.route(), now);
+        VersionSplit.RouteState state =
+                new VersionSplit.RouteState(
+                        mVerdict.isStopped(model.getMove().getId()),
+                        recent,
+                        running(target),
+                        hasLowRateTurn(model.getMove().getId()));
+        String version =
+                mSplits.computeIfAbsent(id, m -> new VersionSplit())
+                        .choose(request.id(), request.route(), model.getMove(), state);
+        return PoolId.of(id, VersionId.of(version));
+    }
+
+    /** One router of those that are linked sends the single requests of a canary at low rates. */
+    private boolean hasLowRateTurn(String moveId) {
+        TreeSet<VmId> routers = new TreeSet<>(mLinks.linkedRouters());
+        routers.add(mSelf.vm());
+        return Owners.ownerOf(BackendServerId.of(moveId), routers).orElseThrow().equals(mSelf.vm());
+    }
+
+    private long lastMinute(PoolId pool, String route, long now) {
+        RouteCounts counts = mRoutes.get(new RouteKey(pool, route));
+        return counts == null ? 0 : counts.lastMinute(now);
+    }
+
+    private long running(PoolId pool) {
+        return mRoutes.entrySet().stream()
+                .filter(e -> e.getKey().pool().equals(pool))
+                .mapToLong(e -> e.getValue().mRunning)
+                .sum();
+    }
+
+    private RouteCounts counts(PoolId pool, String route) {
+        RouteKey key = new RouteKey(pool, route);
+        if (!mRoutes.containsKey(key) && mRoutes.size() >= MAX_ROUTES) {
+            key = new RouteKey(pool, OTHER_ROUTES);
+        }
+        return mRoutes.computeIfAbsent(key, k -> new RouteCounts());
+    }
+
+    @Override
+    public void onStart(PoolId pool, String route) {
+        RouteCounts counts = counts(pool, route);
+        counts.mRunning++;
+        counts.noteArrival(mLoop.nowNanos());
+    }
+
+    @Override
+    public void onEnd(PoolId pool, String route, Ending ending, long millis) {
+        RouteCounts counts = counts(pool, route);
+        counts.mRunning = Math.max(0, counts.mRunning - 1);
+        if (ending == Ending.WITHOUT_EVIDENCE) {
+            return;
+        }
+        counts.mRequests++;
+        if (ending == Ending.FAILED) {
+            counts.mErrors++;
+        }
+        counts.mBuckets[bucketOf(millis)]++;
+    }
+
+    /** Returns the smallest i with {@code millis <= 2^(i/4)}, at most the last bucket. */
+    static int bucketOf(long millis) {
+        if (millis <= 1) {
+            return 0;
+        }
+        int whole = LongMath.log2(millis, RoundingMode.FLOOR);
+        int bucket = whole * 4;
+        while (bucket < BUCKETS - 1 && millis > Math.pow(2, bucket / 4.0)) {
+            bucket++;
+        }
+        return Math.min(bucket, BUCKETS - 1);
+    }
+
+    /** Judges moves by the own evidence and reports it; called every second. */
+    void tick(Configuration configuration) {
+        VersionEvidence.Builder report =
+                VersionEvidence.newBuilder()
+                        .setRouter(mSelf.vm().value())
+                        .setRouterIncarnation(mSelf.incarnation())
+                        .setSequence(++mSequence);
+        for (Model model : configuration.getModelsList()) {
+            if (model.hasMove()) {
+                addRoutes(model, report);
+            }
+        }
+        long now = mLoop.nowNanos();
+        mOwnBook.record(report.build(), now);
+        report.addAllStops(mVerdict.onTick(configuration, now));
+        if (report.getRoutesCount() > 0) {
+            mLinks.sendToAllControl(
+                    Envelope.newBuilder().setVersionEvidence(report.build()).build());
+        }
+    }
+
+    private void addRoutes(Model model, VersionEvidence.Builder report) {
+        mRoutes.forEach(
+                (key, counts) -> {
+                    if (key.pool().model().value().equals(model.getId())) {
+                        report.addRoutes(toMessage(key, counts));
+                    }
+                });
+    }
+
+    private static RouteEvidence toMessage(RouteKey key, RouteCounts counts) {
+        RouteEvidence.Builder route =
+                RouteEvidence.newBuilder()
+                        .setModel(key.pool().model().value())
+                        .setVersion(key.pool().version().value())
+                        .setRoute(key.route())
+                        .setRequests(counts.mRequests)
+                        .setErrors(counts.mErrors)
+                        .setRunning(counts.mRunning);
+        for (long bucket : counts.mBuckets) {
+            route.addLatencyBuckets(bucket);
+        }
+        return route.build();
+    }
+}
--- a/src/main/java/org/jacinthwharf/request/admission/OwnerAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/OwnerAdmission.java
@@ -86,6 +86,14 @@
         mOut = out;
     }
 
+    /** Notes whether a server gets no new work because it is silent or connections to it fail. */
+    public void onSuspect(BackendServerId server, boolean suspect) {
+        ServerSlots slots = mServers.get(server);
+        if (slots != null) {
+            slots.onSuspect(suspect);
+        }
+    }
+
     /** Handles what an owned server says about itself; ignores other servers and old messages. */
     public List<OwnerAction> onAnnouncement(ServerAnnouncement announcement, long nowNanos) {
         List<OwnerAction> actions = new ArrayList<>();
--- a/src/main/java/org/jacinthwharf/request/admission/ServerSlots.java
+++ b/src/main/java/org/jacinthwharf/request/admission/ServerSlots.java
@@ -41,6 +41,7 @@
     // Whether an announcement covers every request of earlier owners, by the rule for each state.
     private boolean mWarmSettled;
     private boolean mColdSettled;
+    private boolean mSuspect;
 
     /**
      * Creates the account of a server that this owner knows nothing of.
@@ -112,6 +113,11 @@
         mColdSettled |= nowNanos >= mLeaseFreeFromNanos + SETTLE_TIME;
     }
 
+    /** Notes whether the server gets no new work; what it holds stays counted. */
+    void onSuspect(boolean suspect) {
+        mSuspect = suspect;
+    }
+
     /** Returns how many slots may be granted now. */
     int free(long nowNanos) {
         if (!isUsable(nowNanos)) {
@@ -134,6 +140,7 @@
     /** Returns whether the server may get work at all. */
     boolean isUsable(long nowNanos) {
         return mAnnouncement != null
+                && !mSuspect
                 && (isCold() || mAnnouncement.getState() == ServerState.WARM)
                 && nowNanos - mAnnouncedNanos <= AdmissionTimes.SUSPECT_AFTER;
     }
--- a/src/main/java/org/jacinthwharf/standin/StandInHandler.java
+++ b/src/main/java/org/jacinthwharf/standin/StandInHandler.java
@@ -78,7 +78,8 @@
                 .put("requests", mState.requests())
                 .put("running", mState.running())
                 .put("mostRunning", mState.mostRunning())
-                .put("mostRunningCold", mState.mostRunningCold());
+                .put("mostRunningCold", mState.mostRunningCold())
+                .put("coldLimit", mOptions.coldLimit());
         ObjectNode executions = stats.putObject("executions");
         mState.executions().forEach(executions::put);
         answer(response, callback, 200, stats.toString());
