Make the cut-off member test notice a missing pre-vote

Cause: the member was cut off before it had the member set, so it never campaigned, and the test passed with pre-vote switched off.

Ruled out: a fault in pre-vote itself.

Change: all members catch up before the cut.

Figures: with pre-vote switched off the test passed before and now fails (term expected 1, was 104).

--- a/src/test/java/org/jacinthwharf/process/consensus/RaftRecoveryTest.java
+++ b/src/test/java/org/jacinthwharf/process/consensus/RaftRecoveryTest.java
@@ -45,6 +45,8 @@
 
     @Test
     void cutOffMemberComesBackWithoutRaisingTheTerm() {
+        // Only a member that has the member set in its log would campaign.
+        mGroup.healAndCheckAcknowledged();
         Member leader = mGroup.leader().orElseThrow();
         String other = leader.mVm.equals("c") ? "b" : "c";
         long term = leader.status().term();
