--- a/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
+++ b/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
@@ -117,6 +117,11 @@
         send(pool, owner, mQueues.waiting(pool), nowNanos, actions);
     }
 
+    /** Tells one owner that nothing waits, until the next round. */
+    void withdraw(PoolId pool, VmId owner, long nowNanos, List<RouterAction<R>> actions) {
+        send(pool, owner, 0, nowNanos, actions);
+    }
+
     private void send(
             PoolId pool, VmId owner, int waiting, long nowNanos, List<RouterAction<R>> actions) {
         Demand.Builder demand =
--- a/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
@@ -136,8 +136,15 @@
             start(next.get(), slot, actions);
         }
         if (!unused.isEmpty()) {
-            // The demand goes first, so that the owner does not grant the slot here again.
-            mDemand.send(pool.get(), owner.get(), nowNanos, actions);
+            // The demand goes first, so that the owner does not grant the slot here again. While
+            // this router may not use the owner's slots it withdraws its demand until the next
+            // round; otherwise grant and return would follow each other without end.
+            boolean refused = usableUntil.isPresent() && !usable;
+            if (refused) {
+                mDemand.withdraw(pool.get(), owner.get(), nowNanos, actions);
+            } else {
+                mDemand.send(pool.get(), owner.get(), nowNanos, actions);
+            }
             sendReturn(owner.get(), server.get(), unused, actions);
         }
         return actions;
--- a/src/test/java/org/jacinthwharf/request/admission/FleetServer.java
+++ b/src/test/java/org/jacinthwharf/request/admission/FleetServer.java
@@ -59,6 +59,14 @@
         announce();
     }
 
+    /** Starts a new, cold process without requests. */
+    void restart() {
+        mRunning.clear();
+        mSamples.clear();
+        mIncarnation++;
+        set(ServerState.COLD);
+    }
+
     void announce() {
         FleetRouter owner = mFleet.mRouters.get(mFleet.mOwners.get(mId));
         int running = mSamples.isEmpty() ? mRunning.size() : mSamples.getFirst();
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/request/admission/ServiceLedgerTest.java
@@ -0,0 +1,105 @@
+package org.jacinthwharf.request.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.wire.generated.ServiceTotals;
+import org.junit.jupiter.api.Test;
+
+/** Guards counters against lost and repeated messages, saved credit, partitions and bad hints. */
+final class ServiceLedgerTest {
+    private static final CustomerId A = CustomerId.of("a");
+    private static final CustomerId B = CustomerId.of("b");
+    private static final long INTERVAL = 200_000_000L;
+
+    private final ServiceLedger mLedger = new ServiceLedger("r0/1", INTERVAL);
+    private final ServiceLedger mOther = new ServiceLedger("r1/1", INTERVAL);
+
+    /** Guards against double counting, and refunds that a merge of maxima loses. */
+    @Property(tries = 50, seed = "301")
+    void repeatedReorderedAndLostTotalsGiveTheCounterOfTheLastOne(@ForAll long seed) {
+        Random random = new Random(seed);
+        ServiceLedger from = new ServiceLedger("r1/1", INTERVAL);
+        ServiceLedger to = new ServiceLedger("r0/1", INTERVAL);
+        List<ServiceTotals> messages = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            RequestCharge charge = RequestCharge.start(from, A, random.nextInt(50));
+            charge.progress(random.nextInt(80));
+            charge.finish(random.nextInt(100));
+            ServiceTotals message = from.nextTotals();
+            if (i == 19 || random.nextInt(3) > 0) {
+                messages.add(message);
+                messages.add(message);
+            }
+        }
+        Collections.shuffle(messages, random);
+        messages.forEach(message -> to.merge(message, 0));
+        assertThat(to.counter(A)).isWithin(1e-6).of(from.counter(A));
+    }
+
+    /** Guards against a customer that saves up credit while idle, also when nobody waits. */
+    @Test
+    void customerThatBecomesBackloggedHasNoCreditFromItsIdleTime() {
+        mLedger.setBacklogged(A, true);
+        mLedger.charge(A, 1_000);
+        mLedger.setBacklogged(B, true);
+        assertThat(mLedger.counter(B)).isEqualTo(1_000.0);
+
+        mLedger.setBacklogged(B, false);
+        mLedger.charge(A, 500);
+        mLedger.setBacklogged(A, false);
+        mLedger.setBacklogged(B, true);
+        assertThat(mLedger.counter(B)).isEqualTo(1_500.0);
+    }
+
+    /** Guards against a router that raises late because the backlog is at another router. */
+    @Test
+    void backlogReportedByAnotherRouterRaisesTheCounterHere() {
+        mLedger.setBacklogged(A, true);
+        mLedger.charge(A, 1_000);
+        mOther.setBacklogged(B, true);
+        mLedger.merge(mOther.nextTotals(), 0);
+        assertThat(mLedger.counter(B)).isEqualTo(1_000.0);
+    }
+
+    /** Guards against starvation of the customer that got more on one side of a partition. */
+    @Test
+    void rejoinLowersCountersToTheSmallestBackloggedPlusTheBound() {
+        FairnessBound bound = new FairnessBound(2, 10, 100, 0.4, 1);
+        mLedger.setBacklogged(A, true);
+        mLedger.setBacklogged(B, true);
+        mOther.charge(A, 1_000_000);
+        mLedger.charge(B, 50);
+        mLedger.onRejoin(bound, INTERVAL);
+        mLedger.merge(mOther.nextTotals(), 0);
+        assertThat(bound.value()).isEqualTo(120.0);
+        assertThat(mLedger.counter(A)).isEqualTo(50 + 120.0);
+
+        mOther.charge(A, 7);
+        mLedger.merge(mOther.nextTotals(), 2 * INTERVAL);
+        assertThat(mLedger.counter(A)).isEqualTo(50 + 120.0 + 7);
+    }
+
+    /** Guards against a customer that shifts its counter with a false or absurd hint. */
+    @Test
+    void hintOutsideOneQuarterToFourTimesTheMeanIsClampedAndNonsenseIsTheMean() {
+        CostEstimator costs = new CostEstimator(100);
+        assertThat(costs.estimate(A, "r", OptionalDouble.empty())).isEqualTo(100.0);
+        costs.record(A, "r", 8);
+        assertThat(costs.estimate(A, "r", OptionalDouble.empty())).isEqualTo(8.0);
+        assertThat(costs.estimate(A, "r", OptionalDouble.of(1e9))).isEqualTo(32.0);
+        assertThat(costs.estimate(A, "r", OptionalDouble.of(1e-9))).isEqualTo(2.0);
+        assertThat(costs.estimate(A, "r", OptionalDouble.of(9))).isEqualTo(9.0);
+        for (double bad : new double[] {0, -5, Double.NaN, Double.POSITIVE_INFINITY}) {
+            assertThat(costs.estimate(A, "r", OptionalDouble.of(bad))).isEqualTo(8.0);
+        }
+        assertThat(costs.estimate(B, "r", OptionalDouble.empty())).isEqualTo(100.0);
+    }
+}
