--- /dev/null
+++ b/src/test/java/org/jacinthwharf/version/MoveSimulation.java
@@ -0,0 +1,199 @@
+package org.jacinthwharf.version;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.jacinthwharf.id.RequestId;
+import org.jacinthwharf.wire.generated.Configuration;
+import org.jacinthwharf.wire.generated.Model;
+import org.jacinthwharf.wire.generated.MovePhase;
+import org.jacinthwharf.wire.generated.MoveStep;
+import org.jacinthwharf.wire.generated.RouteEvidence;
+import org.jacinthwharf.wire.generated.VersionEvidence;
+import org.jacinthwharf.wire.generated.VersionMove;
+
+/** Routers that send requests to two versions, and a leader that drives the move; 1 s per step. */
+final class MoveSimulation {
+    static final List<String> ROUTES = List.of("generate", "tags");
+    static final long SECOND_NANOS = 1_000_000_000L;
+
+    /** Behaviour of a version on a route at a time and share. */
+    interface Behaviour {
+        double badRate(String version, String route, int second, int shareBasisPoints);
+    }
+
+    final Random mRandom;
+    final int mRouters;
+    final int mRate;
+    final int mDeadlineSeconds;
+    final Behaviour mErrors;
+    final Behaviour mSlowness;
+    final Map<String, RouteEvidence.Builder> mCounts = new HashMap<>();
+    final List<VersionSplit> mSplits = new ArrayList<>();
+    int mSecond;
+    double mReportLoss;
+    boolean mLeader = true;
+    boolean mLocalVerdicts = true;
+    Model mModel;
+    EvidenceBook mBook = new EvidenceBook(0);
+    MoveSupervisor mSupervisor = new MoveSupervisor(mBook);
+    final List<EvidenceBook> mOwnBooks = new ArrayList<>();
+    final List<LocalVerdict> mLocals = new ArrayList<>();
+    long mRequests;
+    long mNewRequests;
+    long mNewInSecond;
+
+    MoveSimulation(
+            long seed,
+            int routers,
+            int requestsPerSecond,
+            int deadlineSeconds,
+            Behaviour errors,
+            Behaviour slowness) {
+        mRandom = new Random(seed);
+        mRouters = routers;
+        mRate = requestsPerSecond;
+        mDeadlineSeconds = deadlineSeconds;
+        mErrors = errors;
+        mSlowness = slowness;
+        for (int i = 0; i < routers; i++) {
+            mSplits.add(new VersionSplit());
+            mOwnBooks.add(new EvidenceBook(0));
+            mLocals.add(new LocalVerdict(mOwnBooks.get(i), routers));
+        }
+        mModel =
+                Model.newBuilder()
+                        .setId("briefing")
+                        .setMove(
+                                VersionMove.newBuilder()
+                                        .setId("move-1")
+                                        .setFromVersion("v1")
+                                        .setToVersion("v2")
+                                        .setDeadlineMillis(deadlineSeconds * 1000L)
+                                        .setPhase(MovePhase.CANARY))
+                        .build();
+    }
+
+    /** Replaces the leader by one that knows only the committed move. */
+    void replaceLeader() {
+        mBook = new EvidenceBook(mSecond * 1000L);
+        mSupervisor = new MoveSupervisor(mBook);
+    }
+
+    void step() {
+        mNewInSecond = 0;
+        for (int router = 0; router < mRouters; router++) {
+            for (String route : ROUTES) {
+                int requests = mRate / mRouters / ROUTES.size();
+                for (int i = 0; i < requests; i++) {
+                    request(router, route);
+                }
+            }
+            report(router);
+        }
+        Configuration configuration = Configuration.newBuilder().addModels(mModel).build();
+        if (mLeader) {
+            mSupervisor.onTick(configuration, mSecond * 1000L, nanos()).forEach(this::commit);
+        }
+        if (mLocalVerdicts) {
+            mLocals.forEach(local -> local.onTick(configuration, nanos()));
+        }
+        mSecond++;
+    }
+
+    private void commit(MoveStep step) {
+        mModel =
+                mModel.toBuilder()
+                        .setMove(
+                                mModel.getMove().toBuilder()
+                                        .setPhase(step.getPhase())
+                                        .setShareBasisPoints(step.getShareBasisPoints())
+                                        .setReason(step.getReason()))
+                        .build();
+    }
+
+    private void request(int router, String route) {
+        VersionMove move = mModel.getMove();
+        String version =
+                mSplits.get(router)
+                        .choose(
+                                RequestId.of("r" + mRandom.nextLong()),
+                                route,
+                                move,
+                                new VersionSplit.RouteState(
+                                        mLocals.get(router).isStopped(move.getId()),
+                                        60L * mRate / mRouters / ROUTES.size(),
+                                        0,
+                                        router == 0));
+        mRequests++;
+        if (version.equals("v2")) {
+            mNewRequests++;
+            mNewInSecond++;
+        }
+        int share = move.getShareBasisPoints();
+        boolean error = mRandom.nextDouble() < mErrors.badRate(version, route, mSecond, share);
+        boolean slow = mRandom.nextDouble() < mSlowness.badRate(version, route, mSecond, share);
+        RouteEvidence.Builder counts = counts(router, route, version);
+        counts.setRequests(counts.getRequests() + 1);
+        counts.setErrors(counts.getErrors() + (error ? 1 : 0));
+        // Good latencies spread over 16 buckets, slow ones lie well above.
+        int bucket = slow ? 44 : 16 + mRandom.nextInt(16);
+        counts.setLatencyBuckets(bucket, counts.getLatencyBuckets(bucket) + 1);
+    }
+
+    private RouteEvidence.Builder counts(int router, String route, String version) {
+        return mCounts.computeIfAbsent(
+                router + route + version,
+                ignored -> {
+                    RouteEvidence.Builder counts =
+                            RouteEvidence.newBuilder()
+                                    .setModel("briefing")
+                                    .setRoute(route)
+                                    .setVersion(version);
+                    for (int i = 0; i < 50; i++) {
+                        counts.addLatencyBuckets(0);
+                    }
+                    return counts;
+                });
+    }
+
+    private void report(int router) {
+        VersionEvidence.Builder evidence =
+                VersionEvidence.newBuilder()
+                        .setRouter("vm-" + router)
+                        .setRouterIncarnation(1)
+                        .setSequence(mSecond + 1);
+        for (String route : ROUTES) {
+            evidence.addRoutes(counts(router, route, "v1"));
+            evidence.addRoutes(counts(router, route, "v2"));
+        }
+        mOwnBooks.get(router).record(evidence.build(), nanos());
+        if (mRandom.nextDouble() >= mReportLoss) {
+            mBook.record(evidence.build(), nanos());
+        }
+        if (mRandom.nextDouble() < mReportLoss) {
+            mBook.record(evidence.build(), nanos());
+        }
+    }
+
+    long nanos() {
+        return mSecond * SECOND_NANOS;
+    }
+
+    MovePhase phase() {
+        return mModel.getMove().getPhase();
+    }
+
+    boolean isActive() {
+        return MoveSupervisor.isActive(mModel);
+    }
+
+    MovePhase runToEnd() {
+        while (isActive() && mSecond < 2 * mDeadlineSeconds) {
+            step();
+        }
+        return phase();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/version/MoveSupervisorTest.java
@@ -0,0 +1,165 @@
+package org.jacinthwharf.version;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.jacinthwharf.version.MoveSimulation.Behaviour;
+import org.jacinthwharf.wire.generated.MovePhase;
+import org.junit.jupiter.api.Test;
+
+/** Guards G5 and the timeliness of version moves. */
+final class MoveSupervisorTest {
+    private static final int DEADLINE = 300;
+    private static final Behaviour FEW = (version, route, second, share) -> 0.02;
+
+    /** Kinds of bad versions; each returns the bad rate of v2 on a route. */
+    enum Badness {
+        AT_ONCE,
+        LATER,
+        UNDER_LOAD,
+        ONE_ROUTE;
+
+        double rate(String route, int second, int share, int onset) {
+            boolean bad =
+                    switch (this) {
+                        case AT_ONCE -> true;
+                        case LATER -> second >= onset;
+                        case UNDER_LOAD -> share >= 5_000;
+                        case ONE_ROUTE -> route.equals("tags");
+                    };
+            return bad ? 0.6 : 0.02;
+        }
+    }
+
+    /** Guards against moves that time out although the version is good and reports get lost. */
+    @Property(tries = 20, seed = "815", shrinking = ShrinkingMode.OFF)
+    void goodVersionFinishesByItsDeadline(@ForAll long seed) {
+        MoveSimulation simulation = new MoveSimulation(seed, 6, 120, DEADLINE, FEW, FEW);
+        simulation.mReportLoss = 0.2;
+        assertWithMessage("seed=%s", seed).that(simulation.runToEnd()).isEqualTo(MovePhase.DONE);
+        assertThat(simulation.mSecond).isAtMost(DEADLINE);
+    }
+
+    /**
+     * Guards against false rollbacks: 200 moves with equal error rates of 0%, 0.5%, 2% and 10% in
+     * both versions, 2% slow requests and one 20 s incident that hits both. The page allows 1 in
+     * 100.
+     */
+    @Test
+    void goodVersionIsNotRolledBackForNoise() {
+        double[] rates = {0, 0.005, 0.02, 0.1};
+        int falseRollbacks = 0;
+        for (int i = 0; i < 200; i++) {
+            double rate = rates[i % rates.length];
+            int incident = new Random(i).nextInt(DEADLINE * 3 / 4);
+            Behaviour errors =
+                    (version, route, second, share) ->
+                            second >= incident && second < incident + 20 ? 0.3 + rate : rate;
+            MoveSimulation simulation = new MoveSimulation(i, 6, 120, DEADLINE, errors, FEW);
+            falseRollbacks += simulation.runToEnd() == MovePhase.ROLLED_BACK ? 1 : 0;
+        }
+        assertThat(falseRollbacks).isAtMost(2);
+    }
+
+    /** Guards against a bad version that gets traffic for longer than 3 s after it shows. */
+    @Property(tries = 40, seed = "816", shrinking = ShrinkingMode.OFF)
+    void badVersionGetsNothingThreeSecondsAfterTheEvidenceIsIn(
+            @ForAll long seed, @ForAll Badness badness, @ForAll boolean slow) {
+        int onset = 30 + (int) Math.floorMod(seed, 240L);
+        Behaviour bad =
+                (version, route, second, share) ->
+                        version.equals("v2") ? badness.rate(route, second, share, onset) : 0.02;
+        MoveSimulation simulation =
+                new MoveSimulation(seed, 6, 120, DEADLINE, slow ? FEW : bad, slow ? bad : FEW);
+        PageRule rule = new PageRule(slow, "");
+        int never = 10 * DEADLINE;
+        int evidenceIn = never;
+        while (simulation.mSecond < DEADLINE) {
+            simulation.step();
+            if (evidenceIn == never && rule.isBad(simulation)) {
+                evidenceIn = simulation.mSecond;
+            }
+            if (simulation.mSecond > evidenceIn + 3) {
+                assertWithMessage("%s seed=%s second=%s", badness, seed, simulation.mSecond)
+                        .that(simulation.mNewInSecond)
+                        .isEqualTo(0);
+            }
+        }
+        assertWithMessage("%s slow=%s seed=%s onset=%s", badness, slow, seed, onset)
+                .that(simulation.phase())
+                .isEqualTo(MovePhase.ROLLED_BACK);
+        if (badness == Badness.AT_ONCE || badness == Badness.ONE_ROUTE) {
+            assertThat(simulation.mNewRequests * 20).isAtMost(simulation.mRequests);
+        }
+    }
+
+    /** Guards against a move that stops, or rises by itself, when whoever drives it is lost. */
+    @Test
+    void lossOfTheLeaderFreezesTheShareAndTheNextLeaderFinishes() {
+        MoveSimulation simulation = new MoveSimulation(1, 6, 120, DEADLINE, FEW, FEW);
+        for (int lost : new int[] {40, 100, 170, 230}) {
+            while (simulation.mSecond < lost) {
+                simulation.step();
+            }
+            int share = simulation.mModel.getMove().getShareBasisPoints();
+            simulation.mLeader = false;
+            for (int i = 0; i < 10; i++) {
+                simulation.step();
+            }
+            assertThat(simulation.mModel.getMove().getShareBasisPoints()).isEqualTo(share);
+            simulation.replaceLeader();
+            simulation.mLeader = true;
+        }
+        assertThat(simulation.runToEnd()).isEqualTo(MovePhase.DONE);
+        assertThat(simulation.mSecond).isAtMost(DEADLINE);
+    }
+
+    /**
+     * Guards G5 while control is lost: 10 requests/s per router, of which 60% fail from 200 s on.
+     */
+    @Test
+    void routersStopBadVersionWithoutLeader() {
+        Behaviour bad = (version, route, second, share) -> second >= 200 ? 0.6 : 0.02;
+        Behaviour onlyNew =
+                (version, route, second, share) ->
+                        version.equals("v2") ? bad.badRate(version, route, second, share) : 0.02;
+        MoveSimulation simulation = new MoveSimulation(1, 6, 120, DEADLINE, onlyNew, FEW);
+        while (simulation.mSecond < 200) {
+            simulation.step();
+        }
+        simulation.mLeader = false;
+        assertThat(simulation.mModel.getMove().getShareBasisPoints()).isEqualTo(5_000);
+        List<PageRule> rules =
+                IntStream.range(0, 6)
+                        .mapToObj(router -> new PageRule(false, "" + router))
+                        .collect(Collectors.toCollection(ArrayList::new));
+        rules.forEach(rule -> rule.isBad(simulation));
+        while (!rules.isEmpty()) {
+            simulation.step();
+            rules.removeIf(rule -> rule.isBad(simulation));
+        }
+        for (int i = 0; i < 4; i++) {
+            simulation.step();
+        }
+        assertThat(simulation.mNewInSecond).isEqualTo(0);
+        assertThat(simulation.phase()).isEqualTo(MovePhase.RAMP);
+    }
+
+    /** Guards against a move left half finished when there is nothing to judge by. */
+    @Test
+    void moveWithoutTrafficMissesItsDeadlineWithShareZero() {
+        MoveSimulation simulation = new MoveSimulation(1, 6, 0, DEADLINE, FEW, FEW);
+        assertThat(simulation.runToEnd()).isEqualTo(MovePhase.MISSED_DEADLINE);
+        assertThat(simulation.mSecond).isAtMost(DEADLINE);
+        assertThat(simulation.mModel.getMove().getShareBasisPoints()).isEqualTo(0);
+        assertThat(simulation.mModel.getMove().getReason()).contains("too little evidence");
+    }
+}
