Wait out a change of control leader and follow up unanswered claims

Cause: three replies CLAIM_UNAVAILABLE in a row, which take a few milliseconds while the group has no leader, refused a keyed call; and a claim that was granted after its caller had been refused kept its key "outcome unknown" for 24 h although the call never ran.

Ruled out: resending without a pause (floods the members during an election).

Conclusion: a change of leader delays keyed calls instead of refusing them.

--- a/src/main/java/org/jacinthwharf/process/router/ClaimClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/ClaimClient.java
@@ -21,14 +21,24 @@
  * Sends claims and their ends to the control group, again through another member when no reply
  * comes.
  *
- * <p>Used on the event loop only. Invariant: a claim's reply is passed on once; a resend carries
- * the same claim id, so the group answers it as it answered the first.
+ * <p>Used on the event loop only. Invariants: a resend carries the same claim id, so the group
+ * answers it as it answered the first; a claim that was sent is followed up until the group has
+ * answered it, also after the caller was told that claims are unavailable.
  */
 final class ClaimClient {
     /** A member that has not replied by then is passed over; above one commit across regions. */
     private static final Duration REPLY_TIMEOUT = Duration.ofMillis(700);
 
-    private static final int MAX_CLAIM_SENDS = 3;
+    /** Pause before another member is asked; a new leader is there after one or two seconds. */
+    private static final Duration UNAVAILABLE_PAUSE = Duration.ofMillis(200);
+
+    /** Time after which the caller hears that claims are unavailable. */
+    private static final Duration CLAIM_WAIT = Duration.ofSeconds(3);
+
+    // A claim whose caller was answered may still be granted; without its end as NOT_RUN the key
+    // would answer "outcome unknown". At one send in
+    // 700 ms, 170 of them cover the longest deadline of a claim.
+    private static final int MAX_CLAIM_SENDS_IN_ALL = 170;
     // An end is worth more tries: without it the key answers "outcome unknown" for 24 h.
     private static final int MAX_END_SENDS = 40;
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -48,10 +58,17 @@
         final Envelope mMessage;
         final Consumer<ClaimReply> mOnReply;
         final Runnable mOnCommitted;
+        final long mStartNanos;
         final Set<VmId> mTried = new HashSet<>();
         int mSends;
+        boolean mReportedUnavailable;
 
-        Pending(Envelope message, Consumer<ClaimReply> onReply, Runnable onCommitted) {
+        Pending(
+                Envelope message,
+                Consumer<ClaimReply> onReply,
+                Runnable onCommitted,
+                long startNanos) {
+            mStartNanos = startNanos;
             mMessage = message;
             mOnReply = onReply;
             mOnCommitted = onCommitted;
@@ -61,7 +78,7 @@
     /** Claims a request key; the reply is CLAIM_UNAVAILABLE if no member replies in time. */
     void claim(ClaimRequest claim, Consumer<ClaimReply> onReply) {
         Envelope message = Envelope.newBuilder().setClaimRequest(claim).build();
-        Pending pending = new Pending(message, onReply, () -> {});
+        Pending pending = new Pending(message, onReply, () -> {}, mLoop.nowNanos());
         mClaims.put(claim.getClaimId(), pending);
         sendClaim(claim.getClaimId(), pending);
     }
@@ -69,7 +86,7 @@
     /** Reports the end of a claim; {@code whenCommitted} runs when it is committed, or never. */
     void end(ClaimEnd end, Runnable whenCommitted) {
         Envelope message = Envelope.newBuilder().setClaimEnd(end).build();
-        Pending pending = new Pending(message, r -> {}, whenCommitted);
+        Pending pending = new Pending(message, r -> {}, whenCommitted, mLoop.nowNanos());
         mEnds.put(end.getClaimId(), pending);
         sendEnd(end.getClaimId(), pending);
     }
@@ -82,7 +99,7 @@
         }
         if (reply.getOutcome() == ClaimOutcome.CLAIM_UNAVAILABLE) {
             // The member may be cut off or between leaders; the next one may not be.
-            sendClaim(reply.getClaimId(), pending);
+            sendClaimLater(reply.getClaimId(), pending, UNAVAILABLE_PAUSE);
             return;
         }
         mClaims.remove(reply.getClaimId());
@@ -101,20 +118,23 @@
     }
 
     private void sendClaim(String claimId, Pending pending) {
-        if (pending.mSends >= MAX_CLAIM_SENDS || !sendToNext(pending)) {
+        boolean sent = sendToNext(pending);
+        boolean waited = mLoop.nowNanos() - pending.mStartNanos > CLAIM_WAIT.toNanos();
+        if (!pending.mReportedUnavailable && (!sent || waited)) {
+            reportUnavailable(claimId, pending);
+        }
+        if (pending.mSends == 0 || pending.mSends >= MAX_CLAIM_SENDS_IN_ALL) {
             mClaims.remove(claimId);
-            LOGGER.atInfo().log(
-                    "event=claim_unavailable claim=%s sends=%d", claimId, pending.mSends);
-            pending.mOnReply.accept(
-                    ClaimReply.newBuilder()
-                            .setClaimId(claimId)
-                            .setOutcome(ClaimOutcome.CLAIM_UNAVAILABLE)
-                            .build());
             return;
         }
+        sendClaimLater(claimId, pending, REPLY_TIMEOUT);
+    }
+
+    /** Sends again after the pause unless a reply came or it was sent again meanwhile. */
+    private void sendClaimLater(String claimId, Pending pending, Duration pause) {
         int sends = pending.mSends;
         mLoop.schedule(
-                REPLY_TIMEOUT,
+                pause,
                 () -> {
                     if (mClaims.get(claimId) == pending && pending.mSends == sends) {
                         sendClaim(claimId, pending);
@@ -122,6 +142,16 @@
                 });
     }
 
+    private static void reportUnavailable(String claimId, Pending pending) {
+        pending.mReportedUnavailable = true;
+        LOGGER.atInfo().log("event=claim_unavailable claim=%s sends=%d", claimId, pending.mSends);
+        pending.mOnReply.accept(
+                ClaimReply.newBuilder()
+                        .setClaimId(claimId)
+                        .setOutcome(ClaimOutcome.CLAIM_UNAVAILABLE)
+                        .build());
+    }
+
     private void sendEnd(String claimId, Pending pending) {
         if (pending.mSends >= MAX_END_SENDS) {
             mEnds.remove(claimId, pending);
