Count expired grants and refuse requests that arrive while leaving

Cause: the reasons grant_expired and draining had counters that nothing counted; idle connections stayed open until the process ended, so a request could arrive on one while it closed. Ruled out: closing idle connections at once (the caller may be sending). Change: both reasons are counted; after the listener closes, idle connections close after 500 ms, and a request on an open one while the router leaves is refused as not run. Conclusion: the last moment of a planned stop has an honest answer.

--- a/src/main/java/org/jacinthwharf/process/router/RequestRun.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestRun.java
@@ -13,6 +13,7 @@
 import org.jacinthwharf.connection.SilenceDetector;
 import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.process.metrics.RefusalReason;
+import org.jacinthwharf.process.metrics.RetryReason;
 import org.jacinthwharf.process.router.RequestServices.EvidenceSink.Ending;
 import org.jacinthwharf.request.admission.QueuedRequest;
 import org.jacinthwharf.request.admission.Slot;
@@ -207,6 +208,7 @@
             releaseSlot();
         } else if (now >= slot.usableUntilNanos()) {
             // The process may have been frozen since the grant arrived.
+            mServices.metrics().countRetry(RetryReason.GRANT_EXPIRED);
             releaseSlot();
             mServices.admission().readmit(mQueued);
         } else {
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -58,6 +58,7 @@
     private static final Duration VIEW_TICK = Duration.ofMillis(100);
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final Duration STOP_POLL = Duration.ofMillis(50);
+    private static final long DRAIN_IDLE_MS = 500;
     // In cost units; stands for a customer's mean until its first request has ended.
     private static final double DEFAULT_COST = 64;
 
@@ -85,6 +86,7 @@
     private final RequestRuns mRuns = new RequestRuns();
     private final AtomicLong mIds = new AtomicLong();
     private volatile boolean mDraining;
+    private boolean mLeaving;
 
     /**
      * Creates a process that is not started.
@@ -304,6 +306,9 @@
     }
 
     private Optional<RefusalReason> refusalOf(CallerRequest request) {
+        if (mLeaving) {
+            return Optional.of(RefusalReason.DRAINING);
+        }
         if (mConfiguration.revision() == 0) {
             return Optional.of(RefusalReason.NOT_READY);
         }
@@ -413,7 +418,7 @@
         while (openRequests() > 0 && System.nanoTime() < limit) {
             sleep(STOP_POLL);
         }
-        CompletableFuture.runAsync(mMembership::leave, mLoop).join();
+        CompletableFuture.runAsync(this::leave, mLoop).join();
         // Lets the last messages (slots returned, lease given up) leave the process.
         sleep(STOP_POLL);
         mNetwork.close();
@@ -421,13 +426,22 @@
         LOGGER.atInfo().log("event=router_stopped vm=%s open=%d", mSelf.vm(), openRequests());
     }
 
+    /** Gives up the lease; whoever still sends on an open connection hears "not run". */
+    private void leave() {
+        mLeaving = true;
+        mMembership.leave();
+    }
+
     private int openRequests() {
         return CompletableFuture.supplyAsync(mRuns::size, mLoop).join();
     }
 
     private void closeListener() {
         try {
-            ((ServerConnector) mHttpServer.getConnectors()[0]).close();
+            ServerConnector connector = (ServerConnector) mHttpServer.getConnectors()[0];
+            connector.close();
+            // Connections without a request close soon; those with one ignore the idle time.
+            connector.getConnectedEndPoints().forEach(e -> e.setIdleTimeout(DRAIN_IDLE_MS));
         } catch (RuntimeException e) {
             LOGGER.atWarning().withCause(e).log("event=listener_close_failed");
         }
