Number grants and returns so that lost ones are noticed at once

Cause: a lost grant or return held its slot until the router's next report, up to 2 s. With 2% loss and requests of about 10 ms a polite customer waited longer than the bound.

Ruled out: reports to every owner in every round (30 owners * 5/s * about 60 B = 9 KB/s per router at the design size, computed); repeated returns with acknowledgements (a message per round at low rates, and they do not find lost grants); a shorter grant use limit (heals after 400 ms at best).

Change: an owner numbers its grants to a router, a router its returns to an owner, and demands and returns state what was seen. On a gap the owner asks for a report (a SlotGrant without slots, report_wanted); the router uses no grant up to the stated number that arrives later, so the owner may free it at once. Reports are numbered, so a reordered one changes nothing. A server in another failure domain is reported to the owners of all slots in use there; before, a second owner got a report without these slots and freed them. FairnessTest is back at 2% loss and 10 ms requests, with the formula's bound.

The last return before silence still waits for the 1 s report or the router's next demand.

--- a/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
+++ b/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import org.jacinthwharf.id.FailureDomainId;
 import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.id.RouterIncarnation;
@@ -28,6 +29,7 @@
     private final RouterIncarnation mSelf;
     private final OfferBook mOffers;
     private final RequestQueues<R> mQueues;
+    private final Function<VmId, OwnerContact> mContacts;
     private final DemandLog mLog = new DemandLog();
     private final Set<FailureDomainId> mOut = new HashSet<>();
     private Set<Standing> mStanding = new HashSet<>();
@@ -36,10 +38,15 @@
     private Set<VmId> mAskedBefore = new TreeSet<>();
     private Set<VmId> mAskedLongBefore = new TreeSet<>();
 
-    DemandSender(RouterIncarnation self, OfferBook offers, RequestQueues<R> queues) {
+    DemandSender(
+            RouterIncarnation self,
+            OfferBook offers,
+            RequestQueues<R> queues,
+            Function<VmId, OwnerContact> contacts) {
         mSelf = self;
         mOffers = offers;
         mQueues = queues;
+        mContacts = contacts;
     }
 
     void onOffer(PoolOffer offer, long nowNanos) {
@@ -124,13 +131,16 @@
 
     private void send(
             PoolId pool, VmId owner, int waiting, long nowNanos, List<RouterAction<R>> actions) {
+        OwnerContact contact = mContacts.apply(owner);
         Demand.Builder demand =
                 Demand.newBuilder()
                         .setRouter(mSelf.vm().value())
                         .setRouterIncarnation(mSelf.incarnation())
                         .setSequence(mLog.next(nowNanos))
                         .setPool(Pools.toMessage(pool))
-                        .setWaiting(waiting);
+                        .setWaiting(waiting)
+                        .setGrantsSeen(contact.grantsSeen())
+                        .setReturnsSent(contact.returnsSent());
         if (waiting > 0) {
             demand.addAllHeads(mQueues.heads(pool));
             mStanding.add(new Standing(owner, pool));
--- a/src/main/java/org/jacinthwharf/request/admission/OwnerAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/OwnerAdmission.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import org.jacinthwharf.id.BackendServerId;
@@ -33,15 +34,13 @@
  * demand whose customer has the smallest counter. Not thread-safe.
  */
 public final class OwnerAdmission {
-    private record Reporter(long incarnation, long closedSequence) {}
-
     private final RouterIncarnation mSelf;
     private final FailureDomainId mFailureDomain;
     private final String mRegion;
     private final SlotNumbers mNumbers;
     private final DemandBook mDemand = new DemandBook();
     private final Map<BackendServerId, ServerSlots> mServers = new TreeMap<>();
-    private final Map<VmId, Reporter> mReporters = new HashMap<>();
+    private final Map<VmId, RouterContact> mContacts = new HashMap<>();
     private final Map<PoolId, PoolOffer> mOffers = new HashMap<>();
     private long mEpoch;
     private long mLeaseUntilNanos = Long.MIN_VALUE;
@@ -119,9 +118,14 @@
     /** Handles a router's demand. */
     public List<OwnerAction> onDemand(Demand demand, long nowNanos) {
         List<OwnerAction> actions = new ArrayList<>();
-        VmId.parse(demand.getRouter())
-                .ifPresent(vm -> noteIncarnation(vm, demand.getRouterIncarnation(), nowNanos));
+        Optional<VmId> vm = VmId.parse(demand.getRouter());
+        if (vm.isEmpty() || !noteIncarnation(vm.get(), demand.getRouterIncarnation(), nowNanos)) {
+            return actions;
+        }
+        RouterContact contact = mContacts.get(vm.get());
+        contact.onDemand(demand.getGrantsSeen(), demand.getReturnsSent(), nowNanos);
         mDemand.accept(demand, nowNanos).ifPresent(pool -> grant(pool, nowNanos, actions));
+        askForReport(vm.get(), true, nowNanos, actions);
         publishChanges(nowNanos, actions);
         return actions;
     }
@@ -132,7 +136,15 @@
         Optional<VmId> router = VmId.parse(message.getRouter());
         ServerSlots server =
                 BackendServerId.parse(message.getServer()).map(mServers::get).orElse(null);
-        if (router.isPresent() && server != null) {
+        if (router.isEmpty()) {
+            return actions;
+        }
+        RouterContact contact = mContacts.get(router.get());
+        if (contact != null && contact.incarnation() == message.getRouterIncarnation()) {
+            contact.onReturn(message.getNumber(), message.getGrantsSeen(), nowNanos);
+            askForReport(router.get(), true, nowNanos, actions);
+        }
+        if (server != null) {
             server.onReturned(router.get(), message.getSlotsList(), nowNanos);
             server.pool().ifPresent(pool -> grant(pool, nowNanos, actions));
             publishChanges(nowNanos, actions);
@@ -147,15 +159,19 @@
         if (vm.isEmpty() || !noteIncarnation(vm.get(), report.getRouterIncarnation(), nowNanos)) {
             return actions;
         }
-        long closed = report.getClosedDemandSequence();
-        if (closed < mReporters.get(vm.get()).closedSequence()) {
+        RouterContact contact = mContacts.get(vm.get());
+        if (!contact.onReport(report, nowNanos)) {
             return actions;
         }
-        mReporters.put(vm.get(), new Reporter(report.getRouterIncarnation(), closed));
+        long closed = report.getClosedDemandSequence();
+        boolean toThis = report.getOwnerIncarnation() == mSelf.incarnation();
+        long closedGrant = toThis ? report.getClosedGrantNumber() : 0;
+        contact.onClosed(closedGrant, nowNanos);
         RouterIncarnation router = RouterIncarnation.of(vm.get(), report.getRouterIncarnation());
         mServers.forEach(
                 (id, server) ->
-                        server.onReport(router, listed(report, id, server), closed, nowNanos));
+                        server.onReport(
+                                router, listed(report, id, server), closed, closedGrant, nowNanos));
         grantAll(nowNanos, actions);
         publishChanges(nowNanos, actions);
         return actions;
@@ -191,6 +207,7 @@
     public List<OwnerAction> tick(long nowNanos) {
         List<OwnerAction> actions = new ArrayList<>();
         grantAll(nowNanos, actions);
+        mContacts.keySet().forEach(vm -> askForReport(vm, false, nowNanos, actions));
         if (nowNanos >= mNextOffersNanos) {
             mNextOffersNanos = nowNanos + AdmissionTimes.REPEAT_INTERVAL;
             mOffers.values().removeIf(offer -> offer.getServers() == 0);
@@ -204,12 +221,12 @@
 
     /** Notes a router's incarnation; returns false if it is an earlier one. */
     private boolean noteIncarnation(VmId vm, long incarnation, long nowNanos) {
-        Reporter known = mReporters.get(vm);
+        RouterContact known = mContacts.get(vm);
         if (known != null && incarnation < known.incarnation()) {
             return false;
         }
         if (known == null || incarnation > known.incarnation()) {
-            mReporters.put(vm, new Reporter(incarnation, 0));
+            mContacts.put(vm, new RouterContact(incarnation));
             mServers.values()
                     .forEach(
                             server ->
@@ -220,6 +237,23 @@
         return true;
     }
 
+    /** Asks a router for a report if grants or returns seem to be lost. */
+    private void askForReport(
+            VmId router, boolean message, long nowNanos, List<OwnerAction> actions) {
+        OptionalLong lost = mContacts.get(router).askNow(message, nowNanos);
+        if (lost.isPresent()) {
+            SlotGrant ask =
+                    SlotGrant.newBuilder()
+                            .setOwner(mSelf.vm().value())
+                            .setOwnerIncarnation(mSelf.incarnation())
+                            .setNumber(lost.getAsLong())
+                            .setReportWanted(true)
+                            .build();
+            actions.add(
+                    new OwnerAction.Send(router, Envelope.newBuilder().setSlotGrant(ask).build()));
+        }
+    }
+
     private void grantAll(long nowNanos, List<OwnerAction> actions) {
         Set<PoolId> pools = new HashSet<>();
         mServers.values().forEach(server -> server.pool().ifPresent(pools::add));
@@ -235,9 +269,10 @@
             }
             long slot = mNumbers.next();
             RouterIncarnation router = choice.get().router();
-            server.get().onGranted(slot, router, choice.get().sequence(), nowNanos);
+            long number = mContacts.get(router.vm()).nextGrant(nowNanos);
+            server.get().onGranted(slot, router, choice.get().sequence(), number, nowNanos);
             mDemand.onGranted(pool, nowNanos);
-            SlotGrant grant = message(pool, server.get(), slot, choice.get().sequence());
+            SlotGrant grant = message(pool, server.get(), slot, choice.get().sequence(), number);
             actions.add(
                     new OwnerAction.Send(
                             router.vm(), Envelope.newBuilder().setSlotGrant(grant).build()));
@@ -250,7 +285,8 @@
                 .max(Comparator.comparingDouble(s -> (double) s.free(nowNanos) / s.limit()));
     }
 
-    private SlotGrant message(PoolId pool, ServerSlots server, long slot, long sequence) {
+    private SlotGrant message(
+            PoolId pool, ServerSlots server, long slot, long sequence, long number) {
         ServerAnnouncement announcement = server.announcement();
         return SlotGrant.newBuilder()
                 .setOwner(mSelf.vm().value())
@@ -264,6 +300,7 @@
                 .addSlots(slot)
                 .setFailureDomain(mFailureDomain.value())
                 .setDemandSequence(sequence)
+                .setNumber(number)
                 .build();
     }
 
--- a/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
@@ -39,6 +39,8 @@
     private final DemandSender<R> mDemand;
     private final Predicate<R> mIdempotent;
     private final Map<BackendServerId, VmId> mOwners = new HashMap<>();
+    private final Map<VmId, OwnerContact> mContacts = new HashMap<>();
+    private final RunningReports<R> mReports;
     // Slots seen in grants of the last grant use limit, with the time after which they are
     // forgotten: a repeated grant must not start a second request.
     private final Map<SlotKey, Long> mSeen = new HashMap<>();
@@ -64,7 +66,10 @@
         mLedger = ledger;
         mQueues = new RequestQueues<>(limits, ledger);
         mStandalone = new StandaloneSlots(self, configuredRouters);
-        mDemand = new DemandSender<>(self, new OfferBook(failureDomain, region), mQueues);
+        mDemand =
+                new DemandSender<>(
+                        self, new OfferBook(failureDomain, region), mQueues, this::contact);
+        mReports = new RunningReports<>(self, mRunning, this::ownerOf, this::contact);
         mIdempotent = idempotent;
     }
 
@@ -99,14 +104,23 @@
     public List<RouterAction<R>> onGrant(SlotGrant grant, long nowNanos) {
         List<RouterAction<R>> actions = new ArrayList<>();
         Optional<VmId> owner = VmId.parse(grant.getOwner());
+        if (owner.isPresent() && grant.getReportWanted()) {
+            contact(owner.get()).close(grant.getOwnerIncarnation(), grant.getNumber());
+            long closed = mDemand.closedSequence(nowNanos);
+            Envelope report = mReports.one(mEpoch, closed, owner.get());
+            actions.add(new RouterAction.Send<>(owner.get(), report));
+            return actions;
+        }
         Optional<BackendServerId> server = BackendServerId.parse(grant.getServer());
         Optional<PoolId> pool = Pools.parse(grant.getPool());
         if (owner.isEmpty() || server.isEmpty() || pool.isEmpty()) {
             return actions;
         }
+        boolean open = contact(owner.get()).accept(grant.getOwnerIncarnation(), grant.getNumber());
         var usableUntil = mDemand.usableUntil(grant.getDemandSequence(), nowNanos);
         boolean usable =
-                usableUntil.isPresent()
+                open
+                        && usableUntil.isPresent()
                         && !mDemand.isOut(grant.getFailureDomain())
                         && (mHasView || !grant.getCold());
         List<Long> unused = new ArrayList<>();
@@ -139,7 +153,7 @@
             // The demand goes first, so that the owner does not grant the slot here again. While
             // this router may not use the owner's slots it withdraws its demand until the next
             // round; otherwise grant and return would follow each other without end.
-            boolean refused = usableUntil.isPresent() && !usable;
+            boolean refused = open && usableUntil.isPresent() && !usable;
             if (refused) {
                 mDemand.withdraw(pool.get(), owner.get(), nowNanos, actions);
             } else {
@@ -283,18 +297,25 @@
         actions.add(new RouterAction.Start<>(request, slot));
     }
 
+    private OwnerContact contact(VmId owner) {
+        return mContacts.computeIfAbsent(owner, o -> new OwnerContact());
+    }
+
     private Optional<VmId> ownerOf(Slot slot) {
         return Optional.ofNullable(mOwners.get(slot.server())).or(slot::owner);
     }
 
     private void sendReturn(
             VmId to, BackendServerId server, List<Long> slots, List<RouterAction<R>> actions) {
+        OwnerContact contact = contact(to);
         SlotReturn message =
                 SlotReturn.newBuilder()
                         .setRouter(mSelf.vm().value())
                         .setRouterIncarnation(mSelf.incarnation())
                         .setServer(server.value())
                         .addAllSlots(slots)
+                        .setNumber(contact.nextReturn())
+                        .setGrantsSeen(contact.grantsSeen())
                         .build();
         Envelope envelope = Envelope.newBuilder().setSlotReturn(message).build();
         actions.add(new RouterAction.Send<>(to, envelope));
@@ -302,13 +323,7 @@
 
     private void sendReports(long nowNanos, Set<VmId> to, List<RouterAction<R>> actions) {
         mNextReportNanos = nowNanos + AdmissionTimes.REPEAT_INTERVAL;
-        RunningReports.build(
-                        mSelf,
-                        mEpoch,
-                        mDemand.closedSequence(nowNanos),
-                        mRunning,
-                        this::ownerOf,
-                        to)
+        mReports.all(mEpoch, mDemand.closedSequence(nowNanos), to)
                 .forEach(
                         (owner, envelope) -> actions.add(new RouterAction.Send<>(owner, envelope)));
     }
--- a/src/main/java/org/jacinthwharf/request/admission/RunningReports.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RunningReports.java
@@ -1,50 +1,86 @@
 package org.jacinthwharf.request.admission;
 
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.jacinthwharf.id.BackendServerId;
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.RunningReport;
 
-/** Builds a router's reports of what it runs, one for each owner. */
-final class RunningReports {
-    private RunningReports() {}
+/**
+ * Builds a router's reports of what it runs, one for each owner.
+ *
+ * <p>Invariant: a report lists every request that runs at a server whose slots its receiver may
+ * hold, since the owner frees the slots that are not listed. Not thread-safe.
+ */
+final class RunningReports<R> {
+    private final RouterIncarnation mSelf;
+    private final RunningRequests<R> mRunning;
+    private final Function<Slot, Optional<VmId>> mOwnerOf;
+    private final Function<VmId, OwnerContact> mContacts;
+    private long mNumber;
+
+    RunningReports(
+            RouterIncarnation self,
+            RunningRequests<R> running,
+            Function<Slot, Optional<VmId>> ownerOf,
+            Function<VmId, OwnerContact> contacts) {
+        mSelf = self;
+        mRunning = running;
+        mOwnerOf = ownerOf;
+        mContacts = contacts;
+    }
 
     /**
-     * Returns the reports by owner.
+     * Returns the reports to all owners of servers at which requests run, by owner.
      *
      * @param also owners that get a report even if nothing runs at their servers, because a grant
      *     of theirs may have been lost
      */
-    static <R> Map<VmId, Envelope> build(
-            RouterIncarnation self,
-            long epoch,
-            long closedSequence,
-            RunningRequests<R> running,
-            Function<Slot, Optional<VmId>> ownerOf,
-            Set<VmId> also) {
+    Map<VmId, Envelope> all(long epoch, long closedSequence, Set<VmId> also) {
+        return build(epoch, closedSequence, also, owner -> true);
+    }
+
+    /** Returns the report to one owner. */
+    Envelope one(long epoch, long closedSequence, VmId owner) {
+        return build(epoch, closedSequence, Set.of(owner), owner::equals).get(owner);
+    }
+
+    private Map<VmId, Envelope> build(
+            long epoch, long closedSequence, Set<VmId> also, Predicate<VmId> wanted) {
+        mNumber++;
         Map<VmId, RunningReport.Builder> reports = new TreeMap<>();
         also.forEach(owner -> reports.put(owner, RunningReport.newBuilder()));
-        for (BackendServerId server : running.servers()) {
-            Slot any = running.at(server).iterator().next().slot();
-            ownerOf.apply(any)
-                    .ifPresent(
+        for (BackendServerId server : mRunning.servers()) {
+            // Slots of a server in another failure domain may come from its last two owners; each
+            // gets them all.
+            Set<VmId> owners = new HashSet<>();
+            mRunning.at(server).forEach(r -> mOwnerOf.apply(r.slot()).ifPresent(owners::add));
+            owners.stream()
+                    .filter(wanted)
+                    .forEach(
                             owner ->
                                     reports.computeIfAbsent(owner, o -> RunningReport.newBuilder())
-                                            .addAllServers(running.report(server)));
+                                            .addAllServers(mRunning.report(server)));
         }
         Map<VmId, Envelope> envelopes = new TreeMap<>();
         reports.forEach(
                 (owner, report) -> {
-                    report.setRouter(self.vm().value())
-                            .setRouterIncarnation(self.incarnation())
+                    OwnerContact contact = mContacts.apply(owner);
+                    report.setRouter(mSelf.vm().value())
+                            .setRouterIncarnation(mSelf.incarnation())
                             .setViewEpoch(epoch)
-                            .setClosedDemandSequence(closedSequence);
+                            .setClosedDemandSequence(closedSequence)
+                            .setClosedGrantNumber(contact.grantsSeen())
+                            .setOwnerIncarnation(contact.ownerIncarnation())
+                            .setReturnsSent(contact.returnsSent())
+                            .setNumber(mNumber);
                     envelopes.put(owner, Envelope.newBuilder().setRunningReport(report).build());
                 });
         return envelopes;
--- a/src/main/java/org/jacinthwharf/request/admission/ServerSlots.java
+++ b/src/main/java/org/jacinthwharf/request/admission/ServerSlots.java
@@ -27,6 +27,7 @@
             RouterIncarnation router,
             long serverIncarnation,
             long demandSequence,
+            long grantNumber,
             long sinceNanos,
             boolean granted) {}
 
@@ -163,9 +164,20 @@
         return mAnnouncement;
     }
 
-    void onGranted(long slot, RouterIncarnation router, long demandSequence, long nowNanos) {
+    /**
+     * Notes a granted slot.
+     *
+     * @param demandSequence the demand that the grant answers
+     * @param grantNumber number of the grant among those to the router
+     */
+    void onGranted(
+            long slot,
+            RouterIncarnation router,
+            long demandSequence,
+            long grantNumber,
+            long nowNanos) {
         long incarnation = mAnnouncement.getIncarnation();
-        mHeld.put(slot, new Held(router, incarnation, demandSequence, nowNanos, true));
+        mHeld.put(slot, new Held(router, incarnation, demandSequence, grantNumber, nowNanos, true));
     }
 
     void onReturned(VmId router, List<Long> slots, long nowNanos) {
@@ -183,13 +195,19 @@
      *
      * @param listed the slots of this server that the router runs, with its incarnation
      * @param closedSequence grants for demands up to this one start nothing any more
+     * @param closedGrant grants up to this number start nothing any more
      */
     void onReport(
-            RouterIncarnation router, Map<Long, Long> listed, long closedSequence, long nowNanos) {
+            RouterIncarnation router,
+            Map<Long, Long> listed,
+            long closedSequence,
+            long closedGrant,
+            long nowNanos) {
         for (Map.Entry<Long, Held> entry : List.copyOf(mHeld.entrySet())) {
             Held held = entry.getValue();
             if (held.router().equals(router)
-                    && held.demandSequence() <= closedSequence
+                    && (held.demandSequence() <= closedSequence
+                            || held.grantNumber() <= closedGrant)
                     && !listed.containsKey(entry.getKey())) {
                 mHeld.remove(entry.getKey());
                 mGone.put(entry.getKey(), nowNanos);
@@ -200,7 +218,7 @@
         unknown.keySet().removeAll(mGone.keySet());
         unknown.forEach(
                 (slot, incarnation) ->
-                        mHeld.put(slot, new Held(router, incarnation, 0, nowNanos, false)));
+                        mHeld.put(slot, new Held(router, incarnation, 0, 0, nowNanos, false)));
         mUnattributed.attribute(unknown.size());
     }
 
--- a/src/test/java/org/jacinthwharf/request/admission/FairnessTest.java
+++ b/src/test/java/org/jacinthwharf/request/admission/FairnessTest.java
@@ -21,11 +21,10 @@
     private static final int ROUTERS = 3;
     private static final int SLOTS = 8;
     private static final double LARGEST_COST = 40;
-    // Links are TCP connections, so single messages are rarely lost. A lost grant or return
-    // occupies its slot until the router's next reports, up to 2 s.
-    private static final double LOSS = 0.005;
+    // A lost grant or return occupies its slot until the owner notices the gap in the numbers.
+    private static final double LOSS = 0.02;
     private static final CustomerId FLOOD = CustomerId.of("flood");
-    private static final double UNITS_PER_SECOND = SLOTS * 100.0;
+    private static final double UNITS_PER_SECOND = SLOTS * 1_000.0;
 
     private final Map<String, double[]> mRanges = new HashMap<>();
     private int mJobs;
@@ -33,6 +32,8 @@
     private static Fleet fleet(long seed, double loss) {
         Fleet fleet = new Fleet(seed, ROUTERS);
         fleet.mLoss = loss;
+        // Requests take about 10 ms, so that many messages are lost per slot and second.
+        fleet.mUnitNanos = Fleet.MILLI;
         fleet.addServer("s0", ServerState.WARM, 1, SLOTS / 2, 0);
         fleet.addServer("s1", ServerState.WARM, 1, SLOTS / 2, 1);
         return fleet;
