Add the questionnaire and check settings across files

Cause: the settings of a new deployment were written by hand, and check reported the schema library's wording (raw patterns, no allowed keys) and looked at one file at a time. Ruled out: own schema walker instead of the library (would duplicate the validation); command ids drawn at random in commands.sh (a repeat after a failure would be refused at the failure domains that exist). Change: command questionnaire with process.questionnaire and a published answers schema; SchemaCheck gives problems in plain words; DeploymentCheck compares routers, control members and addresses of several files.

--- a/src/main/java/org/jacinthwharf/cli/CheckCommand.java
+++ b/src/main/java/org/jacinthwharf/cli/CheckCommand.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
+import org.jacinthwharf.process.settings.DeploymentCheck;
 import org.jacinthwharf.process.settings.SettingsProblem;
 import org.jacinthwharf.process.settings.SettingsReader;
 import org.jacinthwharf.process.settings.SettingsResult;
@@ -14,8 +16,17 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** Checks settings files without starting anything. Exits with 1 if a file has a problem. */
-@Command(name = "check", description = "Checks settings files and names every problem in them.")
+/**
+ * Checks settings files, and several of one deployment against each other, without starting
+ * anything. Exits with 1 if there is a problem.
+ *
+ * <p>Not thread-safe.
+ */
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description =
+                "Checks the settings files of one deployment and names every problem in them.")
 final class CheckCommand implements Callable<Integer> {
     @Spec private CommandSpec mSpec;
 
@@ -23,6 +34,7 @@
     private List<Path> mFiles;
 
     private final SettingsReader mReader = new SettingsReader();
+    private final DeploymentCheck mDeployment = new DeploymentCheck();
 
     @Override
     public Integer call() {
@@ -30,6 +42,8 @@
         for (Path file : mFiles) {
             valid &= isValid(file);
         }
+        // Files that are invalid by themselves are left out of the comparison.
+        valid &= report(mDeployment.problems());
         return valid ? 0 : 1;
     }
 
@@ -39,18 +53,32 @@
             return report(i.problems());
         }
         String name = ((Valid<String>) role).settings();
-        SettingsResult<?> settings =
-                name.equals("router") ? mReader.readRouter(file) : mReader.readControl(file);
-        if (settings instanceof Invalid<?> i) {
+        return name.equals("router")
+                ? accept(
+                        file,
+                        name,
+                        mReader.readRouter(file),
+                        s -> mDeployment.add(file.toString(), s))
+                : accept(
+                        file,
+                        name,
+                        mReader.readControl(file),
+                        s -> mDeployment.add(file.toString(), s));
+    }
+
+    private <T> boolean accept(
+            Path file, String role, SettingsResult<T> result, Consumer<T> deployment) {
+        if (result instanceof Invalid<T> i) {
             return report(i.problems());
         }
-        mSpec.commandLine().getOut().println(file + ": valid settings of a " + name);
+        deployment.accept(((Valid<T>) result).settings());
+        mSpec.commandLine().getOut().println(file + ": valid settings of a " + role);
         return true;
     }
 
     private boolean report(List<SettingsProblem> problems) {
         PrintWriter err = mSpec.commandLine().getErr();
         problems.forEach(err::println);
-        return false;
+        return problems.isEmpty();
     }
 }
--- a/src/main/java/org/jacinthwharf/cli/Main.java
+++ b/src/main/java/org/jacinthwharf/cli/Main.java
@@ -12,6 +12,7 @@
         subcommands = {
             RouterCommand.class,
             ControlCommand.class,
+            QuestionnaireCommand.class,
             CheckCommand.class,
             StatusCommand.class,
             CustomerCommand.class,
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/questionnaire/Answers.java
@@ -0,0 +1,66 @@
+package org.jacinthwharf.process.questionnaire;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The answers to the questionnaire, as in an answers file.
+ *
+ * <p>Immutable. Answers that {@link AnswersReader} returned are complete and consistent.
+ *
+ * @param deployment name of the deployment
+ * @param region region that all failure domains are in
+ * @param failureDomains failure domains with their entry VMs
+ * @param ports ports on every VM
+ * @param controlMembers number of control members; null leaves the choice to {@link MemberChoice}
+ * @param dataFolder folder on VMs with a disk, in which each member has a folder
+ * @param operatorTokenFile where the operator token is on VMs with a disk
+ * @param drainDelayMs time between readiness turning off and the end of accepting connections
+ * @param models models and their first version
+ * @param services plain services and their first version
+ * @param customers customers and their weights
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record Answers(
+        String deployment,
+        String region,
+        List<FailureDomainAnswer> failureDomains,
+        Ports ports,
+        @Nullable Integer controlMembers,
+        String dataFolder,
+        String operatorTokenFile,
+        long drainDelayMs,
+        List<Versioned> models,
+        List<Versioned> services,
+        List<CustomerAnswer> customers) {
+
+    static final String DEFAULT_DATA_FOLDER = "/var/lib/jacinthwharf";
+    static final String DEFAULT_TOKEN_FILE = "/etc/jacinthwharf/operator-token";
+
+    /** Creates answers with copies of the lists. */
+    public Answers {
+        failureDomains = ImmutableList.copyOf(failureDomains);
+        models = ImmutableList.copyOf(models);
+        services = ImmutableList.copyOf(services);
+        customers = ImmutableList.copyOf(customers);
+    }
+
+    /** A failure domain and its entry VMs. Immutable. */
+    public record FailureDomainAnswer(String id, List<VmAnswer> vms) {
+        /** Creates an answer with a copy of the list. */
+        public FailureDomainAnswer {
+            vms = ImmutableList.copyOf(vms);
+        }
+    }
+
+    /** An entry VM and whether it has a disk. Immutable. */
+    public record VmAnswer(String id, String ip, boolean disk) {}
+
+    /** A model or plain service and its first version. Immutable. */
+    public record Versioned(String id, String version) {}
+
+    /** A customer and its share of the capacity compared with the others. Immutable. */
+    public record CustomerAnswer(String id, double weight) {}
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/questionnaire/AnswersReader.java
@@ -0,0 +1,89 @@
+package org.jacinthwharf.process.questionnaire;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.jacinthwharf.process.settings.Limits;
+import org.jacinthwharf.process.settings.SchemaCheck;
+import org.jacinthwharf.process.settings.SettingsProblem;
+import org.jacinthwharf.process.settings.SettingsResult;
+
+/**
+ * Reads and checks answers, from a file or from the terminal.
+ *
+ * <p>Stateless but for the parsed schema; thread-safe. The schema is the resource {@code
+ * /schema/answers.schema.json}; keys it does not name are problems.
+ */
+public final class AnswersReader {
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final SchemaCheck mSchema = new SchemaCheck("answers");
+    private final AnswersRules mRules;
+
+    /**
+     * Creates a reader.
+     *
+     * @param vmsShareIps whether several VMs may have one IP, as in a trial fleet in which each VM
+     *     has other ports
+     */
+    public AnswersReader(boolean vmsShareIps) {
+        mRules = new AnswersRules(vmsShareIps);
+    }
+
+    /** Reads an answers file. */
+    public SettingsResult<Answers> read(Path file) {
+        try {
+            return check(file.toString(), mMapper.readTree(Files.readAllBytes(file)));
+        } catch (JacksonException e) {
+            return problem(file.toString(), "not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            return problem(file.toString(), "cannot be read: " + e);
+        }
+    }
+
+    /**
+     * Checks answers and fills in the defaults.
+     *
+     * @param source named in problems
+     */
+    public SettingsResult<Answers> check(String source, JsonNode tree) {
+        ImmutableList<SettingsProblem> problems = mSchema.check(source, tree);
+        if (!problems.isEmpty()) {
+            return new SettingsResult.Invalid<>(problems);
+        }
+        Answers answers;
+        try {
+            answers = mMapper.treeToValue(withDefaults((ObjectNode) tree), Answers.class);
+        } catch (JacksonException e) {
+            throw new IllegalStateException("the answers fit the schema but not the record", e);
+        }
+        problems = mRules.check(source, answers);
+        return problems.isEmpty()
+                ? new SettingsResult.Valid<>(answers)
+                : new SettingsResult.Invalid<>(problems);
+    }
+
+    private ObjectNode withDefaults(ObjectNode given) {
+        ObjectNode all =
+                mMapper.createObjectNode()
+                        .put("dataFolder", Answers.DEFAULT_DATA_FOLDER)
+                        .put("operatorTokenFile", Answers.DEFAULT_TOKEN_FILE)
+                        .put("drainDelayMs", Limits.defaults().drainDelayMs());
+        all.setAll(given);
+        ObjectNode ports = mMapper.valueToTree(Ports.defaults());
+        if (given.get("ports") instanceof ObjectNode some) {
+            ports.setAll(some);
+        }
+        all.set("ports", ports);
+        return all;
+    }
+
+    private static SettingsResult<Answers> problem(String source, String expected) {
+        return new SettingsResult.Invalid<>(
+                ImmutableList.of(new SettingsProblem(source, "", "", expected)));
+    }
+}
--- a/src/main/java/org/jacinthwharf/process/settings/SettingsReader.java
+++ b/src/main/java/org/jacinthwharf/process/settings/SettingsReader.java
@@ -1,18 +1,12 @@
 package org.jacinthwharf.process.settings;
 
 import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
-import com.networknt.schema.Error;
-import com.networknt.schema.InputFormat;
-import com.networknt.schema.Schema;
-import com.networknt.schema.SchemaRegistry;
-import com.networknt.schema.SpecificationVersion;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
@@ -24,11 +18,9 @@
  * problems.
  */
 public final class SettingsReader {
-    private static final int MAX_SHOWN_VALUE = 120;
-
     private final ObjectMapper mMapper = new ObjectMapper();
-    private final SchemaRegistry mSchemas =
-            SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12);
+    private final SchemaCheck mRouterSchema = new SchemaCheck("router");
+    private final SchemaCheck mControlSchema = new SchemaCheck("control");
     private final SettingsRules mRules = new SettingsRules();
 
     /** Reads the settings of a router. */
@@ -57,7 +49,7 @@
             if (text.equals("router") || text.equals("control")) {
                 return new SettingsResult.Valid<>(text);
             }
-            return problem(file, "/role", shown(role), "must be 'router' or 'control'");
+            return problem(file, "/role", SchemaCheck.shown(role), "must be 'router' or 'control'");
         } catch (IOException e) {
             return unreadable(file, e);
         }
@@ -75,10 +67,8 @@
         } catch (IOException e) {
             return unreadable(file, e);
         }
-        ImmutableList<SettingsProblem> problems =
-                schema(role).validate(tree).stream()
-                        .map(e -> toProblem(file, e))
-                        .collect(ImmutableList.toImmutableList());
+        SchemaCheck schema = role.equals("router") ? mRouterSchema : mControlSchema;
+        ImmutableList<SettingsProblem> problems = schema.check(file.toString(), tree);
         if (!problems.isEmpty()) {
             return new SettingsResult.Invalid<>(problems);
         }
@@ -94,8 +84,27 @@
         try {
             return new SettingsResult.Valid<>(mMapper.treeToValue(settings, type));
         } catch (JacksonException e) {
-            return problem(file, "", "", e.getOriginalMessage());
+            String path = pointer(e);
+            JsonNode value = settings.at(path);
+            return problem(file, path, SchemaCheck.shown(value), reason(e));
+        }
+    }
+
+    private static String pointer(JacksonException failure) {
+        StringBuilder path = new StringBuilder();
+        if (failure instanceof JsonMappingException m) {
+            for (JsonMappingException.Reference r : m.getPath()) {
+                path.append('/').append(r.getFieldName() == null ? r.getIndex() : r.getFieldName());
+            }
         }
+        return path.toString();
+    }
+
+    private static String reason(JacksonException failure) {
+        Throwable cause = failure.getCause();
+        return cause instanceof IllegalArgumentException
+                ? cause.getMessage()
+                : failure.getOriginalMessage();
     }
 
     private void fillInLimits(ObjectNode settings) {
@@ -106,29 +115,6 @@
         settings.set("limits", limits);
     }
 
-    private Schema schema(String role) {
-        try (InputStream in =
-                SettingsReader.class.getResourceAsStream("/schema/" + role + ".schema.json")) {
-            return mSchemas.getSchema(in, InputFormat.JSON);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    private static SettingsProblem toProblem(Path file, Error error) {
-        JsonNode node = error.getInstanceNode();
-        return new SettingsProblem(
-                file.toString(),
-                error.getInstanceLocation().toString(),
-                node == null ? "" : shown(node),
-                error.getMessage());
-    }
-
-    private static String shown(JsonNode node) {
-        String text = node.isMissingNode() ? "" : node.toString();
-        return text.length() <= MAX_SHOWN_VALUE ? text : text.substring(0, MAX_SHOWN_VALUE) + "...";
-    }
-
     private static <T> SettingsResult<T> unreadable(Path file, IOException e) {
         String reason =
                 e instanceof JacksonException j ? "not JSON: " + j.getOriginalMessage() : "" + e;
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/questionnaire/QuestionnaireTest.java
@@ -0,0 +1,167 @@
+package org.jacinthwharf.process.questionnaire;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringReader;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.SecureRandom;
+import java.util.stream.Collectors;
+import org.approvaltests.Approvals;
+import org.jacinthwharf.process.settings.SettingsResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards the way from answers to files: wrong members, lost answers and replaced tokens. */
+final class QuestionnaireTest {
+    private static final Path EXAMPLES = Path.of("docs/examples");
+
+    @TempDir Path mFolder;
+    private final AnswersReader mReader = new AnswersReader(false);
+
+    // Guards against a change of the code that changes the settings of a deployment unnoticed.
+    @Test
+    void filesOfFerroviasStayAsApproved() {
+        Approvals.verify(files("ferrovias"));
+    }
+
+    // As above, for the second deployment.
+    @Test
+    void filesOfQasimStayAsApproved() {
+        Approvals.verify(files("qasim"));
+    }
+
+    // Guards against control members that one failure domain takes along while others could help.
+    @Test
+    void membersAreSpreadOverFailureDomainsBeforeOneGetsTwo() {
+        MemberChoice choice = choice("ddd", "d", "dd");
+
+        assertThat(choice.vmIds()).containsExactly("0-0", "1-0", "2-0", "0-1", "2-1");
+        assertThat(choice.notes().toString()).contains("6 VMs have a disk and 5 of them");
+    }
+
+    // Guards against a group that stops at the first loss without operators being told.
+    @Test
+    void fewerThanThreeDisksGiveOneMemberAndAnExplanation() {
+        MemberChoice choice = choice("d", "d-", "-");
+
+        assertThat(choice.vmIds()).containsExactly("0-0");
+        assertThat(choice.notes().toString()).contains("Only 2 VMs have a disk");
+    }
+
+    // Guards against an even number of members, and against a majority in one failure domain that
+    // nobody is told of.
+    @Test
+    void evenNumberOfDisksLeavesOneOutAndMajorityInOneFailureDomainIsExplained() {
+        MemberChoice choice = choice("ddd", "d");
+
+        assertThat(choice.vmIds()).containsExactly("0-0", "1-0", "0-1");
+        assertThat(choice.notes().toString()).contains("an even number of members");
+        assertThat(choice.notes().toString()).contains("Failure domain 0 has a majority");
+    }
+
+    // Guards against answers that pass the schema and lead to processes that cannot start.
+    @Test
+    void contradictoryAnswersAreNamedWithTheirPath() throws IOException {
+        ObjectNode tree = answers("--", "-");
+        ((ObjectNode) tree.at("/failureDomains/0/vms/1")).put("ip", "10.0.0.0");
+        ((ObjectNode) tree.at("/customers/0")).put("weight", 0);
+        assertThat(problems(tree))
+                .contains("/customers/0/weight: 0: must be a number above 0 to 1000000");
+        ((ObjectNode) tree.at("/customers/0")).put("weight", 1);
+        tree.putObject("ports").put("controlHttp", 8080);
+
+        String problems = problems(tree);
+
+        assertThat(problems).contains("/ports/controlHttp: 8080: must differ from");
+        assertThat(problems).contains("/failureDomains/0/vms/1/ip: 10.0.0.0: must differ from");
+        assertThat(problems).contains("/failureDomains: no VM with a disk: must have a VM");
+    }
+
+    // Guards against a second run that locks out every operator who has the first token.
+    @Test
+    void tokenIsPrivateAndNeverOverwritten() throws IOException {
+        DeploymentFiles files = DeploymentFiles.generate(valid(answers("d")));
+        OutputFolder folder = new OutputFolder(mFolder, new SecureRandom());
+        Path token = mFolder.resolve("operator-token");
+
+        assertThat(folder.write(files)).isTrue();
+        String first = Files.readString(token);
+        assertThat(folder.write(files)).isFalse();
+
+        assertThat(Files.readString(token)).isEqualTo(first);
+        assertThat(first.strip()).hasLength(64);
+        assertThat(PosixFilePermissions.toString(Files.getPosixFilePermissions(token)))
+                .isEqualTo("rw-------");
+    }
+
+    // Guards against an interview that takes a wrong answer, hides what is allowed, or whose saved
+    // answers cannot be read again.
+    @Test
+    void interviewRepeatsQuestionsAndItsAnswersCanBeReadAgain() throws IOException {
+        String typed =
+                "shop\nnorth pole\nnorth\na a\na b\n0\n1\n\nhost.example\n10.0.0.1\n\n"
+                        + "1\nb 1\nb1\n10.0.0.1\n10.0.0.2\nmaybe\nno\nno\n80\n80\n\n\n\n\n\n"
+                        + "catalogue\ncatalogue v1\n\n\n\nlarge 8\nsmall\nsmall\nbad x\n\n";
+        StringWriter shown = new StringWriter();
+        Interview interview =
+                new Interview(new BufferedReader(new StringReader(typed)), new PrintWriter(shown));
+
+        Answers answers = valid(interview.ask());
+
+        String saved = DeploymentFiles.text(answers);
+        assertThat(valid(new ObjectMapper().readTree(saved))).isEqualTo(answers);
+        Approvals.verify(shown + "\n\n" + saved);
+    }
+
+    private String files(String example) {
+        SettingsResult<Answers> result = mReader.read(EXAMPLES.resolve(example + ".json"));
+        Answers answers = ((SettingsResult.Valid<Answers>) result).settings();
+        return DeploymentFiles.generate(answers).contents().entrySet().stream()
+                .map(f -> "== " + f.getKey() + "\n" + f.getValue())
+                .collect(Collectors.joining("\n"));
+    }
+
+    private MemberChoice choice(String... failureDomains) {
+        return MemberChoice.of(valid(answers(failureDomains)));
+    }
+
+    // One failure domain a string, one VM a character; d is a VM with a disk.
+    private static ObjectNode answers(String... failureDomains) {
+        ObjectNode answers = new ObjectMapper().createObjectNode();
+        answers.put("deployment", "test").put("region", "north");
+        var domains = answers.putArray("failureDomains");
+        int ip = 0;
+        for (int i = 0; i < failureDomains.length; i++) {
+            var vms = domains.addObject().put("id", "" + i).putArray("vms");
+            for (int j = 0; j < failureDomains[i].length(); j++) {
+                vms.addObject()
+                        .put("id", i + "-" + j)
+                        .put("ip", "10.0.0." + ip++)
+                        .put("disk", failureDomains[i].charAt(j) == 'd');
+            }
+        }
+        answers.putArray("models").addObject().put("id", "m").put("version", "v1");
+        answers.putArray("services");
+        answers.putArray("customers").addObject().put("id", "c").put("weight", 1);
+        return answers;
+    }
+
+    private Answers valid(JsonNode tree) {
+        return ((SettingsResult.Valid<Answers>) mReader.check("test", tree)).settings();
+    }
+
+    private String problems(ObjectNode tree) {
+        SettingsResult<Answers> result = mReader.check("test", tree);
+        return ((SettingsResult.Invalid<Answers>) result)
+                .problems().stream().map(Object::toString).collect(Collectors.joining("\n"));
+    }
+}
