Add benchmarks of latency, control cost, failure domains and decisions

Cause: the budget and the guarantees of design 1.1 and 1.3 were not measured on real processes. Change: parts 2 to 6 of bin/bench, with processes that are children of the bench and end with it, and JMH benchmarks beside the classes they measure.

--- a/src/test/java/org/jacinthwharf/bench/Bench.java
+++ b/src/test/java/org/jacinthwharf/bench/Bench.java
@@ -27,7 +27,14 @@
     public static void main(String[] args) throws IOException {
         Map<String, Part> parts = new LinkedHashMap<>();
         parts.put("policy", PolicyBench::run);
+        parts.put("latency", LatencyBench::run);
+        parts.put("cost", ControlCostBench::run);
+        parts.put("state", ControlStateBench::run);
+        parts.put("domain", DomainBench::run);
+        parts.put("micro", MicroBench::run);
         List<String> chosen = args.length == 0 ? List.copyOf(parts.keySet()) : List.of(args);
+        // Only by name: with it a whole run would exceed its time.
+        parts.put("steady", ControlCostBench::steady);
         BenchReport report = new BenchReport(System.out);
         long started = System.nanoTime();
         for (String name : chosen) {
--- a/src/test/java/org/jacinthwharf/bench/BenchReport.java
+++ b/src/test/java/org/jacinthwharf/bench/BenchReport.java
@@ -53,7 +53,8 @@
 
     /** Adds a target that this run compares with but that does not decide the exit code. */
     public void compare(String name, double value, double target, String unit) {
-        row(name, value, unit, "compare with " + number(target));
+        String verdict = value <= target ? " (not above)" : " (above)";
+        row(name, value, unit, "compare with " + number(target) + verdict);
     }
 
     /** Notes that a part could not be measured; this counts as an exceeded bound. */
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/bench/CostWindow.java
@@ -0,0 +1,69 @@
+package org.jacinthwharf.bench;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.jacinthwharf.process.settings.Endpoint;
+
+/**
+ * What the processes of one role used during a window, on average per process.
+ *
+ * @param corePercent processor time, in percent of a core
+ * @param megabytes resident memory of the largest process at the end
+ * @param sentPerSecond bytes of messages sent to other processes, per second
+ * @param receivedPerSecond bytes of messages received, per second
+ */
+record CostWindow(
+        double corePercent, double megabytes, double sentPerSecond, double receivedPerSecond) {
+    /** The windows of both roles. */
+    record Both(CostWindow router, CostWindow control) {}
+
+    private record Totals(double cpu, double sent, double received) {}
+
+    /** Measures both roles at the same time. */
+    static Both measure(BenchFleet fleet, double seconds) throws Exception {
+        long start = System.nanoTime();
+        Totals routers = totals(fleet, fleet.mRouters, fleet.mRouterAdmin);
+        Totals controls = totals(fleet, fleet.mControls, fleet.mControlAdmin);
+        TimeUnit.MILLISECONDS.sleep((long) (seconds * 1_000));
+        double elapsed = (System.nanoTime() - start) / 1e9;
+        Totals routersAfter = totals(fleet, fleet.mRouters, fleet.mRouterAdmin);
+        Totals controlsAfter = totals(fleet, fleet.mControls, fleet.mControlAdmin);
+        return new Both(
+                window(fleet.mRouters, routers, routersAfter, elapsed),
+                window(fleet.mControls, controls, controlsAfter, elapsed));
+    }
+
+    private static CostWindow window(
+            List<BenchProcess> processes, Totals before, Totals after, double seconds)
+            throws Exception {
+        double megabytes = 0;
+        for (BenchProcess process : processes) {
+            megabytes = Math.max(megabytes, ProcFile.residentMegabytes(process.pid()));
+        }
+        double all = seconds * processes.size();
+        return new CostWindow(
+                100 * (after.cpu() - before.cpu()) / all,
+                megabytes,
+                (after.sent() - before.sent()) / all,
+                (after.received() - before.received()) / all);
+    }
+
+    private static Totals totals(
+            BenchFleet fleet, List<BenchProcess> processes, List<Endpoint> admin) throws Exception {
+        double cpu = 0;
+        double sent = 0;
+        double received = 0;
+        for (int i = 0; i < processes.size(); i++) {
+            cpu += ProcFile.cpuSeconds(processes.get(i).pid());
+            for (String line : fleet.mHttp.get(admin.get(i), "/metrics").split("\n")) {
+                if (line.startsWith("jacinthwharf_control_bytes_total{")) {
+                    double value = Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1));
+                    boolean out = line.contains("direction=\"out\"");
+                    sent += out ? value : 0;
+                    received += out ? 0 : value;
+                }
+            }
+        }
+        return new Totals(cpu, sent, received);
+    }
+}
