Give up owned backend servers when the lease lapses

Cause: a router that was frozen or cut off long enough for its lease to lapse kept its account of the slots of its backend servers. When it came back as owner of the same servers in a later view, it did not know the slots that another owner had granted in a view between, and granted above the cold limit: mostRunningCold 6 with limit 2 in one of three runs of RequestProcessesTest.

Ruled out: comparing epochs only (a router can miss a view completely and see the same owners before and after).

--- a/src/main/java/org/jacinthwharf/process/router/MembershipDriver.java
+++ b/src/main/java/org/jacinthwharf/process/router/MembershipDriver.java
@@ -38,7 +38,7 @@
  * Joins the view of the failure domain, the registry of backend servers and the slot decisions.
  *
  * <p>Used on the event loop only. Invariants: a server is registered at its owner; a server whose
- * owner changes is given up before the next view can grant for it.
+ * owner changes, or whose owner's lease lapsed, is given up before anything is granted for it.
  */
 final class MembershipDriver {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -139,7 +139,7 @@
             } else if (output instanceof ViewOutput.Standalone) {
                 LOGGER.atWarning().log("event=view_lost vm=%s", mSelf.vm());
                 mMetrics.countEvent("view_lost");
-                passLeaseOn();
+                giveUpServers();
                 mAdmission.run(mRouter.onViewLost(now()));
             }
         }
@@ -148,6 +148,14 @@
         }
     }
 
+    /**
+     * Forgets the slots of all owned servers. After a lapsed lease another router may have granted
+     * slots under a view that this one never saw, so it must take over as a new owner does.
+     */
+    private void giveUpServers() {
+        mOwner.servers().forEach(mOwner::onServerNotOwned);
+    }
+
     private void send(ViewOutput.Send send) {
         if (send.to().equals(DomainVoters.WITNESS)) {
             // Only the leader of the control group answers.
