Show routers' reports in status

Cause: status showed only what control members know; backend servers and customers' shares were visible only as JSON on each admin port. Ruled out: sending the reports through the control members (control traffic has a budget per router).

--- a/src/main/java/org/jacinthwharf/cli/OperatorCommand.java
+++ b/src/main/java/org/jacinthwharf/cli/OperatorCommand.java
@@ -25,7 +25,7 @@
     static final ObjectMapper JSON = new ObjectMapper();
 
     private static final int REFUSED = 1;
-    private static final int NO_ANSWER = 3;
+    static final int NO_ANSWER = 3;
 
     @Spec private CommandSpec mSpec;
 
--- a/src/main/java/org/jacinthwharf/cli/StatusText.java
+++ b/src/main/java/org/jacinthwharf/cli/StatusText.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.Lists;
 import java.time.Instant;
 import java.util.Locale;
+import org.jacinthwharf.process.settings.Endpoint;
 
 /** Renders the status that control members answer as text for people. Stateless, thread-safe. */
 final class StatusText {
@@ -50,6 +51,42 @@
         return text.toString();
     }
 
+    /** Renders what a router reports on its admin port. */
+    static String router(Endpoint admin, JsonNode status) {
+        StringBuilder text = new StringBuilder();
+        line(
+                text,
+                "%nrouter %s at %s, revision %s, %s open requests, %s waiting%s",
+                status.path("vmId").asText(),
+                admin,
+                status.path("revision").asText(),
+                status.path("openRequests").asText(),
+                status.path("waiting").asText(),
+                status.path("validView").asBoolean() ? "" : ", NO valid view");
+        for (JsonNode s : status.path("backendServers")) {
+            line(
+                    text,
+                    "  server %-20s owner %s, %s %s, %s%s, limit %s, running %s",
+                    s.path("id").asText(),
+                    s.path("owner").asText(),
+                    s.path("model").asText(),
+                    s.path("version").asText(),
+                    s.path("state").asText(),
+                    s.path("suspect").asBoolean() ? ", suspect" : "",
+                    s.path("limit").asText(),
+                    s.path("announcedRunning").asText());
+        }
+        for (JsonNode c : status.path("customers")) {
+            line(
+                    text,
+                    "  customer %-20s weight %s, service per weight %.1f",
+                    c.path("id").asText(),
+                    c.path("weight").asText(),
+                    c.path("counter").asDouble());
+        }
+        return text.toString().stripTrailing();
+    }
+
     private static String failureDomain(JsonNode f) {
         ImmutableList<JsonNode> waiting = ImmutableList.copyOf(f.path("unconfirmed"));
         String open =
--- a/src/main/java/org/jacinthwharf/process/router/ConfigurationDriver.java
+++ b/src/main/java/org/jacinthwharf/process/router/ConfigurationDriver.java
@@ -1,6 +1,7 @@
 package org.jacinthwharf.process.router;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -142,6 +143,11 @@
                 configuration.getRevision(), customers.size(), mModels.size(), ownOut);
     }
 
+    /** Returns the customers of the configuration in force. */
+    Set<CustomerId> customers() {
+        return Collections.unmodifiableSet(mCustomers);
+    }
+
     /** Returns whether there is a configuration and the failure domain is not out; any thread. */
     boolean isServing() {
         return mServing;
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -167,7 +167,8 @@
                         metrics,
                         this));
         mHttpServer.setHandler(bodyLimit);
-        RouterStatus status = new RouterStatus(mSelf, mConfiguration, mMembership, mRouter, mRuns);
+        RouterStatus status =
+                new RouterStatus(mSelf, mConfiguration, mMembership, mRouter, mRuns, mLedger);
         mAdmin =
                 new AdminServer(
                         settings.listen().admin().toSocketAddress(),
--- a/src/main/java/org/jacinthwharf/process/router/RouterStatus.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterStatus.java
@@ -1,12 +1,17 @@
 package org.jacinthwharf.process.router;
 
+import static java.util.Comparator.comparing;
+
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableSortedSet;
+import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.process.membership.RegisteredServer;
 import org.jacinthwharf.request.admission.RouterAdmission;
+import org.jacinthwharf.request.admission.ServiceLedger;
 
 /**
  * Writes what a router knows as JSON, for operators.
@@ -21,21 +26,27 @@
     private final MembershipDriver mMembership;
     private final RouterAdmission<RequestRun> mRouter;
     private final RequestRuns mRuns;
+    private final ServiceLedger mLedger;
 
     RouterStatus(
             RouterIncarnation self,
             ConfigurationDriver configuration,
             MembershipDriver membership,
             RouterAdmission<RequestRun> router,
-            RequestRuns runs) {
+            RequestRuns runs,
+            ServiceLedger ledger) {
         mSelf = self;
         mConfiguration = configuration;
         mMembership = membership;
         mRouter = router;
         mRuns = runs;
+        mLedger = ledger;
     }
 
-    /** Returns the status, with the backend servers that this router owns. */
+    /**
+     * Returns the status, with the backend servers that this router owns and the service that each
+     * customer received anywhere, in cost units divided by its weight.
+     */
     String toJson() {
         ObjectNode status = JSON.createObjectNode();
         status.put("vmId", mSelf.vm().value())
@@ -56,12 +67,23 @@
                         });
         ArrayNode servers = status.putArray("backendServers");
         mMembership.servers().values().forEach(s -> servers.add(toJson(s)));
+        ArrayNode customers = status.putArray("customers");
+        for (CustomerId c :
+                ImmutableSortedSet.copyOf(
+                        comparing(CustomerId::value), mConfiguration.customers())) {
+            customers
+                    .addObject()
+                    .put("id", c.value())
+                    .put("weight", mLedger.weight(c))
+                    .put("counter", mLedger.counter(c));
+        }
         return status.toPrettyString() + "\n";
     }
 
     private ObjectNode toJson(RegisteredServer server) {
         return JSON.createObjectNode()
                 .put("id", server.id().value())
+                .put("owner", mSelf.vm().value())
                 .put("model", server.announcement().getModel())
                 .put("version", server.announcement().getVersion())
                 .put("state", Ascii.toLowerCase(server.announcement().getState().name()))
