End the exchange with a member that lost entries; bound proposals

Cause: a member that loses acknowledged entries rejects each append, and the leader answered each rejection at once with the same append, without end. Proposals without a majority were unbounded, and an election could take longer than 2 s after one split vote. Ruled out: moving back before acknowledged entries, as those may be committed with the lost copy. Change: a rejection that moves nothing is answered by the next heartbeat only; 2,000 open proposals per leader, more are refused as not run; candidate waits of 250 to 450 ms and follower waits of 1,000 to 1,400 ms. Figures: 60 lost leaders (groups of 3 and 5) replaced within 2 s in simulation; less than 600 messages in 10 s with a member that lost entries. Conclusion: the message loop ends.

--- a/src/main/java/org/jacinthwharf/process/consensus/Leadership.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/Leadership.java
@@ -155,8 +155,11 @@
         }
         p.heard(reply.getRound(), nowNanos);
         if (!reply.getSuccess()) {
-            p.rejected(reply.getMatchIndex());
-            sendTo(reply.getMember(), p, false, nowNanos);
+            // Otherwise the next heartbeat repeats it; an answer at once would make an endless
+            // loop.
+            if (p.rejected(reply.getMatchIndex())) {
+                sendTo(reply.getMember(), p, false, nowNanos);
+            }
             return;
         }
         p.matched(reply.getMatchIndex());
--- a/src/main/java/org/jacinthwharf/process/consensus/Progress.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/Progress.java
@@ -67,8 +67,15 @@
         mNext = Math.max(mNext, mMatch + 1);
     }
 
-    /** Moves back to the entry after {@code hint}, but never before an acknowledged one. */
-    void rejected(long hint) {
+    /**
+     * Moves back to the entry after {@code hint}, but never before an acknowledged one.
+     *
+     * @return whether it moved. If not, the peer may have lost what it acknowledged; the same
+     *     append would be rejected again.
+     */
+    boolean rejected(long hint) {
+        long before = mNext;
         mNext = Math.max(mMatch + 1, Math.min(mNext, hint + 1));
+        return mNext < before;
     }
 }
--- a/src/main/java/org/jacinthwharf/process/consensus/ProposeOutcome.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/ProposeOutcome.java
@@ -20,6 +20,9 @@
      */
     record NotLeader(Optional<VmId> leader) implements ProposeOutcome {}
 
+    /** The command was not appended, since too many proposals wait for their commit. */
+    record Overloaded() implements ProposeOutcome {}
+
     /** The member lost leadership; the command may be committed by the next leader, or not. */
     record Unknown() implements ProposeOutcome {}
 }
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftNode.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftNode.java
@@ -34,6 +34,9 @@
     /** Bounds the entries that a restart replays. */
     static final int SNAPSHOT_ENTRIES = 1_000;
 
+    /** Bounds the memory for commands that a slow or lost majority does not commit. */
+    static final int MAX_OPEN_PROPOSALS = 2_000;
+
     private static final long SNAPSHOT_BYTES = 4 << 20;
 
     private final RaftCore mCore;
@@ -120,6 +123,9 @@
 
     @Override
     public CompletableFuture<ProposeOutcome> propose(ByteString command) {
+        if (mProposals.size() >= MAX_OPEN_PROPOSALS) {
+            return CompletableFuture.completedFuture(new ProposeOutcome.Overloaded());
+        }
         OptionalLong index =
                 mStopped ? OptionalLong.empty() : mCore.propose(command, mLoop.nowNanos());
         if (index.isEmpty()) {
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
@@ -18,10 +18,12 @@
     static final long SNAPSHOT_RESEND = TimeUnit.MILLISECONDS.toNanos(2_000);
 
     // Keeps the waits of two members apart by more than a round trip and a disk sync.
-    private static final long ELECTION_SPREAD = TimeUnit.MILLISECONDS.toNanos(500);
-    // Shorter than the election timeout, so that a split vote is repeated within about 2 s of the
-    // loss of the leader; longer than two round trips and a slow sync.
-    private static final long CANDIDATE_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long ELECTION_SPREAD = TimeUnit.MILLISECONDS.toNanos(400);
+    // Shorter than the election timeout, so that also after one split vote a leader is elected
+    // 1,000 + 400 + 250 + 200 ms and two round trips after the loss of the old one, within 2 s;
+    // longer than two round trips and a slow sync.
+    private static final long CANDIDATE_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long CANDIDATE_SPREAD = TimeUnit.MILLISECONDS.toNanos(200);
 
     private RaftTimings() {}
 
@@ -32,6 +34,6 @@
 
     /** Returns how long a candidate waits for votes before it asks again. */
     static long candidateWait(RandomGenerator random) {
-        return CANDIDATE_TIMEOUT + random.nextLong(ELECTION_SPREAD);
+        return CANDIDATE_TIMEOUT + random.nextLong(CANDIDATE_SPREAD);
     }
 }
--- a/src/test/java/org/jacinthwharf/process/consensus/CrashingFolder.java
+++ b/src/test/java/org/jacinthwharf/process/consensus/CrashingFolder.java
@@ -16,6 +16,7 @@
     private final RandomGenerator mRandom;
     private Map<String, Content> mFiles = new HashMap<>();
     private Map<String, Content> mDurableFiles = new HashMap<>();
+    private boolean mIgnoresSyncs;
     private int mStepsLeft = Integer.MAX_VALUE;
 
     /** Thrown at the chosen step, in place of the end of the process. */
@@ -95,9 +96,17 @@
         c.mBytes = Arrays.copyOf(c.mBytes, (int) length);
     }
 
+    /** Makes the disk report syncs that it does not carry out. */
+    void ignoreSyncs() {
+        mIgnoresSyncs = true;
+    }
+
     @Override
     public void sync(String name) {
         step();
+        if (mIgnoresSyncs) {
+            return;
+        }
         Content c = mFiles.get(name);
         c.mDurable = c.mBytes.clone();
     }
--- a/src/test/java/org/jacinthwharf/process/consensus/RaftRecoveryTest.java
+++ b/src/test/java/org/jacinthwharf/process/consensus/RaftRecoveryTest.java
@@ -1,7 +1,9 @@
 package org.jacinthwharf.process.consensus;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.protobuf.ByteString;
 import java.time.Duration;
 import org.jacinthwharf.process.consensus.SimulatedGroup.Member;
 import org.junit.jupiter.api.Test;
@@ -58,12 +60,59 @@
         assertThat(leader.status().role()).isEqualTo(LogStatus.Role.LEADER);
     }
 
+    /** Guards the failure table: elections that take longer than 2 s, in groups of 3 and 5. */
     @Test
-    void lostLeaderIsReplacedWithinTwentyFiveHundredMillis() {
+    void lostLeaderIsReplacedWithinTwoSeconds() {
+        for (int seed = 0; seed < 60; seed++) {
+            SimulatedGroup group =
+                    seed % 2 == 0
+                            ? SimulatedGroup.started(seed, "a", "b", "c")
+                            : SimulatedGroup.started(seed, "a", "b", "c", "d", "e");
+            group.healAndCheckAcknowledged();
+            group.leader().orElseThrow().crash();
+            group.run(Duration.ofMillis(2_000));
+            assertWithMessage("seed=%s", seed).that(group.leader()).isPresent();
+        }
+    }
+
+    /**
+     * Guards against an endless exchange with a member that lost entries after acknowledging them:
+     * 10 s with heartbeats every 150 ms need about 270 messages.
+     */
+    @Test
+    void memberThatLostAcknowledgedEntriesCausesNoEndlessExchange() {
+        mGroup.healAndCheckAcknowledged();
+        String leader = mGroup.leader().orElseThrow().mVm;
+        Member liar = mGroup.mMembers.get(leader.equals("c") ? "b" : "c");
+        liar.mFolder.ignoreSyncs();
+        for (int i = 0; i < 20; i++) {
+            mGroup.commitOne();
+        }
+        mGroup.run(Duration.ofMillis(500));
+        liar.crash();
+        liar.start();
+        mGroup.run(Duration.ofMillis(500));
+        mGroup.mSent = 0;
+        mGroup.run(Duration.ofSeconds(10));
+        assertThat(mGroup.mSent).isLessThan(600);
+        mGroup.commitOne();
+    }
+
+    /** Guards the leader's memory while no majority commits; what is refused must not run. */
+    @Test
+    void proposalsBeyondTheBoundAreRefusedAndNeverRun() {
+        Member leader = mGroup.leader().orElseThrow();
+        mGroup.mMembers.keySet().stream()
+                .filter(vm -> !vm.equals(leader.mVm))
+                .forEach(vm -> mGroup.cut(vm, true));
+        for (int i = 0; i < RaftNode.MAX_OPEN_PROPOSALS; i++) {
+            assertThat(leader.mNode.propose(ByteString.copyFromUtf8("p" + i)).isDone()).isFalse();
+        }
+        assertThat(leader.mNode.propose(ByteString.copyFromUtf8("refused")).join())
+                .isEqualTo(new ProposeOutcome.Overloaded());
+        mGroup.mMembers.keySet().forEach(vm -> mGroup.cut(vm, false));
         mGroup.commitOne();
-        mGroup.leader().orElseThrow().crash();
-        mGroup.run(Duration.ofMillis(2_500));
-        assertThat(mGroup.leader()).isPresent();
+        assertThat(mGroup.leader().orElseThrow().mState).doesNotContain("refused");
     }
 
     @Test
--- a/src/test/java/org/jacinthwharf/process/consensus/SimulatedGroup.java
+++ b/src/test/java/org/jacinthwharf/process/consensus/SimulatedGroup.java
@@ -47,6 +47,7 @@
     double mLoss;
     long mMaxDelayNanos = Duration.ofMillis(5).toNanos();
     long mNowNanos;
+    int mSent;
 
     private final ImmutableSortedSet<VmId> mConfigured;
     private final PriorityQueue<Event> mEvents =
@@ -167,6 +168,7 @@
     }
 
     private void send(String from, VmId to, Envelope e) {
+        mSent++;
         checkLogMatching(e);
         boolean cut = mCut.contains(from) || mCut.contains(to.value());
         if (cut || mRandom.nextDouble() < mLoss || !mMembers.containsKey(to.value())) {
