Start moves with share 0 and bound the time of claims

Cause: a move started with 5% before the supervisor had a reference; a new leadership used evidence of an earlier one; a leader with a wall clock hours ahead could expire claims early and allow a second execution. Ruled out: a bound of 60 s per command, as many commands add up to hours. Change: moves start with share 0 and a canary above 5% is refused; MoveDriver tells the planner of each leadership and SupervisedMoves then starts anew; the time of claims follows the leader's monotonic clock within a term and moves by at most 60 s towards the wall clock of a new leader.

--- a/src/main/java/org/jacinthwharf/process/assembly/SupervisedMoves.java
+++ b/src/main/java/org/jacinthwharf/process/assembly/SupervisedMoves.java
@@ -9,15 +9,24 @@
 import org.jacinthwharf.wire.generated.MoveStep;
 import org.jacinthwharf.wire.generated.VersionEvidence;
 
-/** Version moves as the control process sees them. Used on the event loop only. */
+/**
+ * Version moves as the control process sees them.
+ *
+ * <p>Used on the event loop only. Invariant: steps rest on evidence of the present leadership.
+ */
 final class SupervisedMoves implements MovePlanner {
     private final EventLoop mLoop;
-    private final EvidenceBook mBook;
-    private final MoveSupervisor mSupervisor;
+    private EvidenceBook mBook;
+    private MoveSupervisor mSupervisor;
 
     SupervisedMoves(EventLoop loop) {
         mLoop = loop;
-        mBook = new EvidenceBook(loop.nowMillis());
+        onLeading();
+    }
+
+    @Override
+    public void onLeading() {
+        mBook = new EvidenceBook(mLoop.nowMillis());
         mSupervisor = new MoveSupervisor(mBook);
     }
 
--- a/src/main/java/org/jacinthwharf/process/control/ChangeRules.java
+++ b/src/main/java/org/jacinthwharf/process/control/ChangeRules.java
@@ -148,7 +148,8 @@
                         .setStartedMillis(command.getNowMillis())
                         .setPhase(MovePhase.CANARY)
                         .setPhaseSinceMillis(command.getNowMillis())
-                        .setShareBasisPoints(CANARY_SHARE)
+                        // The supervisor starts the canary once it knows the old version's rates.
+                        .setShareBasisPoints(0)
                         .clearReason();
         return change(delta().addModels(model.toBuilder().setMove(move)));
     }
@@ -166,6 +167,9 @@
         if (!moving(model)) {
             return refused("move '%s' has ended: %s", move.getId(), move.getPhase());
         }
+        if (step.getPhase() == MovePhase.CANARY && share > CANARY_SHARE) {
+            return refused("share %s of move '%s' is too large for a canary", share, move.getId());
+        }
         if (step.getPhase().getNumber() < move.getPhase().getNumber() || share > WHOLE_SHARE) {
             return refused("move '%s' cannot go to %s, %s", move.getId(), step.getPhase(), share);
         }
--- a/src/main/java/org/jacinthwharf/process/control/ClaimRelay.java
+++ b/src/main/java/org/jacinthwharf/process/control/ClaimRelay.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jacinthwharf.connection.Link;
 import org.jacinthwharf.id.VmId;
@@ -52,7 +53,11 @@
 
     /** Handles a claim or claim end that arrived on {@code from}. */
     public void onRequest(Link from, Envelope message) {
-        Command.Builder command = Command.newBuilder().setNowMillis(mLoop.nowMillis());
+        Command.Builder command =
+                Command.newBuilder()
+                        .setNowMillis(mLoop.nowMillis())
+                        .setLeaderTerm(mLog.status().term())
+                        .setLeaderUptimeMillis(TimeUnit.NANOSECONDS.toMillis(mLoop.nowNanos()));
         if (message.hasClaimRequest()) {
             command.setCommandId(message.getClaimRequest().getClaimId());
             command.setClaim(message.getClaimRequest());
@@ -67,6 +72,8 @@
                                 from.send(answer(message, a));
                             } else if (outcome instanceof ProposeOutcome.NotLeader n) {
                                 forward(from, message, n.leader());
+                            } else if (outcome instanceof ProposeOutcome.Overloaded) {
+                                refuse(from, message, "overloaded");
                             } else {
                                 refuse(from, message, "outcome_unknown");
                             }
--- a/src/main/java/org/jacinthwharf/process/control/ControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlProcess.java
@@ -9,16 +9,13 @@
 import java.util.concurrent.CompletionException;
 import org.jacinthwharf.connection.Links;
 import org.jacinthwharf.id.VmId;
-import org.jacinthwharf.process.consensus.LogStatus;
 import org.jacinthwharf.process.consensus.ReplicatedLog;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.AdminServer;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.process.settings.ControlPeer;
 import org.jacinthwharf.process.settings.ControlSettings;
-import org.jacinthwharf.wire.generated.Command;
 import org.jacinthwharf.wire.generated.Hello;
-import org.jacinthwharf.wire.generated.MoveStep;
 
 /**
  * A control process: state machine, log, links, operator interface and admin port.
@@ -37,7 +34,7 @@
     private final LogFactory.OpenLog mOpenLog;
     private final ConfigurationPublisher mPublisher;
     private final ClaimRelay mClaims;
-    private final MovePlanner mPlanner;
+    private final MoveDriver mMoves;
     private final ControlMessages mMessages;
     private final OperatorServer mOperatorServer;
     private final AdminServer mAdminServer;
@@ -55,12 +52,12 @@
         mLoop = loop;
         mLinks = new Links(hello(settings, loop.nowMillis()), loop, metrics);
         mState = new ControlStateMachine(parts.claims());
-        mPlanner = parts.planner();
         MemberLinks members = new MemberLinks();
         mOpenLog = parts.logFactory().open(mState, loop, members);
         ReplicatedLog log = mOpenLog.log();
         mPublisher = new ConfigurationPublisher(mState, log, loop);
         mState.setListener(mPublisher);
+        mMoves = new MoveDriver(parts.planner(), mState, log, loop);
         mClaims = new ClaimRelay(log, loop, members::find);
         mMessages =
                 new ControlMessages(
@@ -70,7 +67,7 @@
                         mOpenLog,
                         mPublisher,
                         mClaims,
-                        mPlanner,
+                        parts.planner(),
                         parts.witness());
         OperatorApi api =
                 new OperatorApi(
@@ -149,21 +146,7 @@
         mPublisher.tick();
         mClaims.tick();
         mReady = mPublisher.isConfirmed();
-        ReplicatedLog log = mOpenLog.log();
-        if (log.status().role() == LogStatus.Role.LEADER) {
-            long now = mLoop.nowMillis();
-            for (MoveStep step : mPlanner.tick(mState.configuration(), now)) {
-                LOGGER.atInfo().log(
-                        "event=move_step model=%s move=%s phase=%s share=%d reason='%s'",
-                        step.getModel(),
-                        step.getMoveId(),
-                        step.getPhase(),
-                        step.getShareBasisPoints(),
-                        step.getReason());
-                Command command = Command.newBuilder().setNowMillis(now).setMoveStep(step).build();
-                log.propose(command.toByteString());
-            }
-        }
+        mMoves.tick();
     }
 
     private ObjectNode status() {
--- a/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
@@ -27,6 +27,7 @@
     static final int KEPT_REPLIES = 10_000;
 
     private final Claims mClaims;
+    private final ClaimClock mClock = new ClaimClock();
     private final ConfigurationState mState = new ConfigurationState();
     private final ChangeRules mRules = new ChangeRules(mState);
     private final LinkedHashMap<String, CommandReply> mReplies = new LinkedHashMap<>();
@@ -64,11 +65,12 @@
         return switch (command.getChangeCase()) {
             case CLAIM ->
                     reply(command, CommandResult.APPLIED, "")
-                            .setClaim(mClaims.claim(command.getClaim(), command.getNowMillis()))
+                            .setClaim(mClaims.claim(command.getClaim(), mClock.advance(command)))
                             .build();
             case CLAIM_END ->
                     reply(command, CommandResult.APPLIED, "")
-                            .setClaimEnd(mClaims.end(command.getClaimEnd(), command.getNowMillis()))
+                            .setClaimEnd(
+                                    mClaims.end(command.getClaimEnd(), mClock.advance(command)))
                             .build();
             case MOVE_STEP -> change(command);
             default -> changeOnce(command);
@@ -122,12 +124,13 @@
 
     @Override
     public ByteString snapshot() {
-        return ControlSnapshot.newBuilder()
-                .setConfiguration(mState.toMessage())
-                .addAllClaims(mClaims.records())
-                .addAllReplies(mReplies.values())
-                .build()
-                .toByteString();
+        ControlSnapshot.Builder snapshot =
+                ControlSnapshot.newBuilder()
+                        .setConfiguration(mState.toMessage())
+                        .addAllClaims(mClaims.records())
+                        .addAllReplies(mReplies.values());
+        mClock.addTo(snapshot);
+        return snapshot.build().toByteString();
     }
 
     @Override
@@ -140,6 +143,7 @@
         }
         mState.replace(parsed.getConfiguration());
         mClaims.restore(parsed.getClaimsList());
+        mClock.restore(parsed);
         mReplies.clear();
         parsed.getRepliesList().forEach(r -> mReplies.put(r.getCommandId(), r));
         mListener.ifPresent(ConfigurationListener::onRestore);
--- a/src/main/java/org/jacinthwharf/process/control/MovePlanner.java
+++ b/src/main/java/org/jacinthwharf/process/control/MovePlanner.java
@@ -9,9 +9,12 @@
  * Decides the next steps of version moves from the evidence of routers.
  *
  * <p>Called on the event loop only. {@link #tick} is called on the leader only; evidence arrives at
- * every member, so that a new leader can continue.
+ * every member; a new leader judges by what arrives after {@link #onLeading}.
  */
 public interface MovePlanner {
+    /** Starts a leadership of this member: nothing of an earlier one may be used. */
+    void onLeading();
+
     /** Takes the counts of one router incarnation. */
     void onEvidence(VersionEvidence evidence, long nowNanos);
 
@@ -21,6 +24,9 @@
     /** Returns a planner that takes no step. */
     static MovePlanner idle() {
         return new MovePlanner() {
+            @Override
+            public void onLeading() {}
+
             @Override
             public void onEvidence(VersionEvidence evidence, long nowNanos) {}
 
--- a/src/main/java/org/jacinthwharf/process/control/OperatorApi.java
+++ b/src/main/java/org/jacinthwharf/process/control/OperatorApi.java
@@ -119,6 +119,10 @@
                                     OperatorAnswer.refusal(
                                             503, "no_leader", "not run; no leader is known"));
         }
+        if (outcome instanceof ProposeOutcome.Overloaded) {
+            return OperatorAnswer.refusal(
+                    503, "overloaded", "not run; too many changes wait for their commit");
+        }
         return OperatorAnswer.refusal(
                 503, "outcome_unknown", "send the command again with the same command id");
     }
--- a/src/test/java/org/jacinthwharf/process/control/ControlStateMachineTest.java
+++ b/src/test/java/org/jacinthwharf/process/control/ControlStateMachineTest.java
@@ -5,13 +5,19 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import org.jacinthwharf.id.RequestId;
+import org.jacinthwharf.version.EvidenceBook;
+import org.jacinthwharf.version.MoveSupervisor;
+import org.jacinthwharf.version.VersionSplit;
 import org.jacinthwharf.wire.generated.ClaimOutcome;
 import org.jacinthwharf.wire.generated.ClaimRequest;
 import org.jacinthwharf.wire.generated.Command;
 import org.jacinthwharf.wire.generated.CommandReply;
 import org.jacinthwharf.wire.generated.CommandResult;
+import org.jacinthwharf.wire.generated.ControlSnapshot;
 import org.jacinthwharf.wire.generated.MovePhase;
 import org.jacinthwharf.wire.generated.MoveStep;
+import org.jacinthwharf.wire.generated.VersionMove;
 import org.junit.jupiter.api.Test;
 
 /** Guards G11 in the replicated state: no lost, doubled or silently overwritten change. */
@@ -80,6 +86,34 @@
         assertThat(reply.getDetail()).isEqualTo("the deadline is in the past");
     }
 
+    /**
+     * Guards G5 from the first request on: a bad version must get nothing before there is a
+     * reference to judge it by, and at most 5% as a canary.
+     */
+    @Test
+    void newVersionGetsNothingUntilTheSupervisorStartsItsCanary() {
+        apply(mState, Commands.model("m0", "m", "v1"));
+        apply(mState, Commands.move("m1", "m", "v2", Commands.NOW + 100_000));
+        VersionMove started = mState.configuration().getModels(0).getMove();
+        VersionSplit split = new VersionSplit();
+        for (int i = 0; i < 1_000; i++) {
+            VersionSplit.RouteState idle = new VersionSplit.RouteState(false, i, 0, true);
+            assertThat(split.choose(RequestId.of("r" + i), "tags", started, idle)).isEqualTo("v1");
+        }
+
+        MoveSupervisor supervisor = new MoveSupervisor(new EvidenceBook(Commands.NOW));
+        assertThat(supervisor.onTick(mState.configuration(), Commands.NOW + 1_000, 0)).isEmpty();
+        supervisor
+                .onTick(mState.configuration(), Commands.NOW + 5_000, 0)
+                .forEach(s -> apply(mState, Command.newBuilder().setMoveStep(s)));
+
+        VersionMove canary = mState.configuration().getModels(0).getMove();
+        assertThat(canary.getPhase()).isEqualTo(MovePhase.CANARY);
+        assertThat(canary.getShareBasisPoints()).isEqualTo(500);
+        assertThat(apply(mState, step(MovePhase.CANARY, 501)).getResult())
+                .isEqualTo(CommandResult.INVALID);
+    }
+
     /** Guards against a late step of an old leader that revives a rolled back version. */
     @Test
     void stepAfterRollbackIsRefused() {
@@ -119,6 +153,38 @@
                 .isEqualTo(ClaimOutcome.CLAIM_IN_PROGRESS);
     }
 
+    /**
+     * Guards G8: a leader with a wall clock 24 h ahead, or one that jumps, must not make claims
+     * expire early; and claims must still expire by the leader's own clock.
+     */
+    @Test
+    void wallClockOfLeaderMovesTheTimeOfClaimsByAtMostOneMinute() {
+        long day = 24 * 60 * 60 * 1_000L;
+        ClaimClock clock = new ClaimClock();
+        assertThat(clock.advance(at(1, Commands.NOW, 500))).isEqualTo(Commands.NOW);
+        assertThat(clock.advance(at(1, Commands.NOW + day, 700))).isEqualTo(Commands.NOW + 200);
+        assertThat(clock.advance(at(2, Commands.NOW + day, 9_000)))
+                .isEqualTo(Commands.NOW + 60_200);
+        assertThat(clock.advance(at(2, Commands.NOW + day, 10_000)))
+                .isEqualTo(Commands.NOW + 61_200);
+        assertThat(clock.advance(at(2, 0, 9_500))).isEqualTo(Commands.NOW + 61_200);
+        assertThat(clock.advance(at(3, 0, 1))).isEqualTo(Commands.NOW + 61_200);
+        ControlSnapshot.Builder snapshot = ControlSnapshot.newBuilder();
+        clock.addTo(snapshot);
+        ClaimClock restored = new ClaimClock();
+        restored.restore(snapshot.build());
+        assertThat(restored.advance(at(3, 0, 101))).isEqualTo(Commands.NOW + 61_300);
+        assertThat(clock.advance(at(3, 0, 1 + day))).isEqualTo(Commands.NOW + 61_200 + day);
+    }
+
+    private static Command at(long term, long wallMillis, long uptimeMillis) {
+        return Command.newBuilder()
+                .setLeaderTerm(term)
+                .setNowMillis(wallMillis)
+                .setLeaderUptimeMillis(uptimeMillis)
+                .build();
+    }
+
     /** Guards against claims that count as configuration changes or displace kept replies. */
     @Test
     void claimsLeaveRevisionAndKeptRepliesAlone() {
--- a/src/test/java/org/jacinthwharf/process/control/SingleMemberLog.java
+++ b/src/test/java/org/jacinthwharf/process/control/SingleMemberLog.java
@@ -16,6 +16,7 @@
     final StateMachine mStateMachine;
     Optional<VmId> mLeader = Optional.of(VmId.of("vm1"));
     boolean mLeads = true;
+    long mTerm = 3;
     private long mIndex;
 
     public SingleMemberLog(StateMachine stateMachine) {
@@ -39,7 +40,7 @@
     public LogStatus status() {
         return new LogStatus(
                 mLeads ? LogStatus.Role.LEADER : LogStatus.Role.FOLLOWER,
-                3,
+                mTerm,
                 mLeader,
                 mIndex,
                 mIndex,
