Repeat recalls, and test the cold limit rules and failure domains by schedule

Cause: ColdLimitTest passes with the settling time, the lease check or the grant use limit switched off. A lost recall was never repeated. Several failure domains, leaving servers and a router restart had no test.

Ruled out: more random schedules (the needed delays are too rare in them); a recall in every round (requests need longer than 200 ms to end).

The owner repeats a recall every second while the server runs above its cold limit; a router cancels each request once, since those already cancelled count. A new owner of a cold server above its limit recalls too.

--- a/src/main/java/org/jacinthwharf/request/admission/OwnerAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/OwnerAdmission.java
@@ -107,7 +107,7 @@
         if (!server.onAnnouncement(announcement, nowNanos)) {
             return actions;
         }
-        if (wasWarm && server.isCold()) {
+        if (wasWarm) {
             recall(id.get(), server, nowNanos, actions);
         }
         server.pool().ifPresent(pool -> grant(pool, nowNanos, actions));
@@ -210,6 +210,8 @@
         mContacts.keySet().forEach(vm -> askForReport(vm, false, nowNanos, actions));
         if (nowNanos >= mNextOffersNanos) {
             mNextOffersNanos = nowNanos + AdmissionTimes.REPEAT_INTERVAL;
+            // A recall may be lost, or have reached a router whose requests cannot be cancelled.
+            mServers.forEach((id, server) -> recall(id, server, nowNanos, actions));
             mOffers.values().removeIf(offer -> offer.getServers() == 0);
             for (PoolOffer offer : currentOffers(nowNanos).values()) {
                 actions.add(new OwnerAction.Publish(offer));
@@ -304,9 +306,10 @@
                 .build();
     }
 
+    /** Asks for the requests above the limit of a cold server. */
     private void recall(
             BackendServerId id, ServerSlots server, long nowNanos, List<OwnerAction> actions) {
-        int excess = server.excess(nowNanos);
+        int excess = server.isCold() ? server.excess(nowNanos) : 0;
         for (Map.Entry<VmId, Integer> held : server.held().entrySet()) {
             int count = Math.min(excess, held.getValue());
             if (count > 0) {
--- a/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
@@ -184,7 +184,10 @@
         return actions;
     }
 
-    /** Handles a recall: cancels the most recently started idempotent requests. */
+    /**
+     * Handles a recall: cancels the most recently started idempotent requests. Those cancelled
+     * before that have not ended yet count, since a recall is repeated.
+     */
     public List<RouterAction<R>> onRecall(SlotRecall recall) {
         List<RouterAction<R>> actions = new ArrayList<>();
         Optional<BackendServerId> server = BackendServerId.parse(recall.getServer());
@@ -192,10 +195,14 @@
             return actions;
         }
         List<RunningRequests.Running<R>> running = new ArrayList<>(mRunning.at(server.get()));
-        for (int i = running.size() - 1; i >= 0 && actions.size() < recall.getCount(); i--) {
+        int left = recall.getCount();
+        for (int i = running.size() - 1; i >= 0 && left > 0; i--) {
             RunningRequests.Running<R> candidate = running.get(i);
             if (mIdempotent.test(candidate.request().request())) {
-                actions.add(new RouterAction.Cancel<>(candidate.request(), candidate.slot()));
+                left--;
+                if (mRunning.recall(candidate.slot())) {
+                    actions.add(new RouterAction.Cancel<>(candidate.request(), candidate.slot()));
+                }
             }
         }
         return actions;
--- a/src/main/java/org/jacinthwharf/request/admission/RunningRequests.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RunningRequests.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.jacinthwharf.id.BackendServerId;
 import org.jacinthwharf.wire.generated.ServerRunning;
@@ -21,6 +23,7 @@
     record Running<R>(QueuedRequest<R> request, Slot slot, RequestCharge charge) {}
 
     private final Map<BackendServerId, Map<Long, Running<R>>> mServers = new TreeMap<>();
+    private final Set<Slot> mRecalled = new HashSet<>();
 
     void add(Running<R> running) {
         mServers.computeIfAbsent(running.slot().server(), s -> new LinkedHashMap<>())
@@ -36,7 +39,13 @@
         return mServers.getOrDefault(server, Map.of()).containsKey(number);
     }
 
+    /** Notes that a request is cancelled; returns false if it was noted before. */
+    boolean recall(Slot slot) {
+        return mRecalled.add(slot);
+    }
+
     void remove(Slot slot) {
+        mRecalled.remove(slot);
         mServers.computeIfPresent(
                 slot.server(),
                 (server, slots) -> {
--- a/src/test/java/org/jacinthwharf/request/admission/Fleet.java
+++ b/src/test/java/org/jacinthwharf/request/admission/Fleet.java
@@ -8,10 +8,13 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.ToLongBiFunction;
 import org.jacinthwharf.id.BackendServerId;
 import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.id.FailureDomainId;
 import org.jacinthwharf.id.ModelId;
 import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.id.VersionId;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.wire.generated.Envelope;
@@ -41,6 +44,10 @@
     double mLoss;
     long mMaxDelayNanos = 2 * MILLI;
     long mUnitNanos = 10 * MILLI;
+
+    /** Delay of a message to a router, beyond that of all messages. */
+    ToLongBiFunction<VmId, Envelope> mExtraDelay = (to, message) -> 0;
+
     long mNow = SECOND;
     long mEpoch = 1;
     private final PriorityQueue<Event> mEvents =
@@ -51,10 +58,22 @@
     Fleet(long seed, int routers) {
         mRandom = new Random(seed);
         for (int i = 0; i < routers; i++) {
-            FleetRouter router = new FleetRouter(this, VmId.of("r" + i), routers);
-            mRouters.put(router.mVm, router);
-            router.start();
+            addRouter(i, 1, "fd", "region", routers);
+        }
+    }
+
+    /** Adds a router, or replaces an earlier incarnation of it. */
+    FleetRouter addRouter(
+            int i, long incarnation, String domain, String region, int configuredRouters) {
+        RouterIncarnation self = RouterIncarnation.of(VmId.of("r" + i), incarnation);
+        FleetRouter router =
+                new FleetRouter(this, self, FailureDomainId.of(domain), region, configuredRouters);
+        FleetRouter before = mRouters.put(router.mVm, router);
+        if (before != null) {
+            before.mAlive = false;
         }
+        router.start();
+        return router;
     }
 
     FleetRouter router(int i) {
@@ -74,15 +93,20 @@
         mEpoch++;
         mOwners.put(server.mId, owner.mVm);
         owner.mOwned.put(server.mId, mNow);
+        Map<BackendServerId, VmId> owners = new HashMap<>(mOwners);
+        owners.values().removeIf(vm -> !mRouters.get(vm).mDomain.equals(owner.mDomain));
         owner.mOwner.onLease(mEpoch, mNow + LEASE);
         owner.mOwner.onServerOwned(server.mId, leaseFreeFrom);
         for (FleetRouter router : mRouters.values()) {
+            if (!router.mReachesCoordinator || !router.mDomain.equals(owner.mDomain)) {
+                continue;
+            }
             router.receive(
                     () -> {
                         if (router != owner && router.mOwned.remove(server.mId) != null) {
                             router.mOwner.onServerNotOwned(server.mId);
                         }
-                        router.act(router.mAdmission.onView(mEpoch, mOwners, mNow));
+                        router.act(router.mAdmission.onView(mEpoch, owners, mNow));
                     },
                     owner);
         }
@@ -92,7 +116,9 @@
     void send(FleetRouter from, VmId to, Envelope message) {
         if (mRandom.nextDouble() >= mLoss || from.mVm.equals(to)) {
             FleetRouter target = mRouters.get(to);
-            target.receive(() -> target.deliver(message), from);
+            after(
+                    mExtraDelay.applyAsLong(to, message),
+                    () -> target.receive(() -> target.deliver(message), from));
         }
     }
 
--- a/src/test/java/org/jacinthwharf/request/admission/FleetRouter.java
+++ b/src/test/java/org/jacinthwharf/request/admission/FleetRouter.java
@@ -15,10 +15,11 @@
 
 /** One router process of a {@link Fleet}: both sides of admission, and its faults. */
 final class FleetRouter {
-    private static final FailureDomainId DOMAIN = FailureDomainId.of("fd");
-
     final Fleet mFleet;
     final VmId mVm;
+    final FailureDomainId mDomain;
+    final String mRegion;
+    final RouterIncarnation mSelf;
     final ServiceLedger mLedger;
     final RouterAdmission<Fleet.Job> mAdmission;
     final OwnerAdmission mOwner;
@@ -30,24 +31,35 @@
     int mSide;
     boolean mAlive = true;
     boolean mFrozen;
+
+    /** If false, its lease is not renewed and it learns of no view; other routers reach it. */
+    boolean mReachesCoordinator = true;
+
     boolean mRecallable = true;
     private final List<Runnable> mInbox = new ArrayList<>();
 
-    FleetRouter(Fleet fleet, VmId vm, int configuredRouters) {
+    FleetRouter(
+            Fleet fleet,
+            RouterIncarnation self,
+            FailureDomainId domain,
+            String region,
+            int configuredRouters) {
         mFleet = fleet;
-        mVm = vm;
-        RouterIncarnation self = RouterIncarnation.of(vm, 1);
+        mVm = self.vm();
+        mSelf = self;
+        mDomain = domain;
+        mRegion = region;
         mLedger = new ServiceLedger(self.toString(), 200 * Fleet.MILLI);
         mAdmission =
                 new RouterAdmission<>(
                         self,
-                        DOMAIN,
-                        "region",
+                        domain,
+                        region,
                         configuredRouters,
                         new QueueLimits(200, 5_000),
                         mLedger,
                         job -> mRecallable);
-        mOwner = new OwnerAdmission(self, DOMAIN, "region");
+        mOwner = new OwnerAdmission(self, domain, region);
     }
 
     void start() {
@@ -72,8 +84,8 @@
         }
     }
 
-    private void renewLease() {
-        if (mSide == 0) {
+    void renewLease() {
+        if (mSide == 0 && mReachesCoordinator) {
             mOwner.onLease(mFleet.mEpoch, mFleet.mNow + Fleet.LEASE);
         }
     }
