Let a choice pick among the waiting requests of the customer to serve

Cause: a granted slot always took the oldest request, so a prompt prefix cached at the granted server could not be preferred.

Ruled out: choosing over several customers (passes over the smallest counter); a look-ahead without an end (the oldest request could wait for ever behind newer ones).

Change: RequestChoice, given to RouterAdmission by a second constructor; it is called with the server and the 8 oldest requests of the customer with the smallest counter. The default takes the oldest. The oldest request of a customer is passed over at most 8 times. The router process still uses the default.

Figures: without the limit of 8 the tenth start has 10 choices instead of 9 and the test fails.

Conclusion: a cache hint cannot pass over a customer. Joining it with PrefixAffinity is left to process.router.

--- a/src/main/java/org/jacinthwharf/request/admission/RequestQueues.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RequestQueues.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.process.metrics.RefusalReason;
@@ -18,10 +19,11 @@
 /**
  * Keeps the waiting requests of a router, one queue per pool and customer.
  *
- * <p>Invariants: the limits hold after every {@link #offer}; requests of a customer in a pool start
- * in the order of arrival; the ledger knows which customers wait. The refusal of a request depends
- * on the queue of its own customer and the total limit only. Not thread-safe. Choosing the next
- * request is linear in the customers that wait in the pool.
+ * <p>Invariants: the limits hold after every {@link #offer}; the oldest request of a customer in a
+ * pool is passed over at most {@link RequestChoice#LOOK_AHEAD} times; the ledger knows which
+ * customers wait. The refusal of a request depends on the queue of its own customer and the total
+ * limit only. Not thread-safe. Choosing the next request is linear in the customers that wait in
+ * the pool.
  */
 final class RequestQueues<R> {
     private static final int MAX_HEADS = 16;
@@ -29,6 +31,8 @@
     private static final class CustomerQueue<R> {
         final ArrayDeque<QueuedRequest<R>> mRequests = new ArrayDeque<>();
         double mCost;
+        // Times that the oldest request was passed over.
+        int mPassedOver;
     }
 
     private static final class PoolQueue<R> {
@@ -102,27 +106,49 @@
     }
 
     /**
-     * Takes the next request of the pool: the oldest of the customer with the smallest counter.
+     * Takes the next request of the pool: one of the customer with the smallest counter.
      *
+     * @param choice returns the index of the request among the customer's oldest
      * @param expired receives the requests found past their deadline
      */
-    Optional<QueuedRequest<R>> next(PoolId poolId, long nowNanos, List<QueuedRequest<R>> expired) {
+    Optional<QueuedRequest<R>> next(
+            PoolId poolId,
+            long nowNanos,
+            ToIntFunction<List<QueuedRequest<R>>> choice,
+            List<QueuedRequest<R>> expired) {
         while (true) {
             PoolQueue<R> pool = mPools.get(poolId);
             if (pool == null || pool.mWaiting == 0) {
                 return Optional.empty();
             }
             CustomerId customer = Collections.min(pool.mCustomers.keySet(), byCounter());
-            QueuedRequest<R> request = pool.mCustomers.get(customer).mRequests.getFirst();
-            remove(request);
-            if (request.deadlineNanos() > nowNanos) {
-                pool.mRate.onStart(request.estimate(), nowNanos);
-                return Optional.of(request);
+            CustomerQueue<R> queue = pool.mCustomers.get(customer);
+            QueuedRequest<R> oldest = queue.mRequests.getFirst();
+            if (oldest.deadlineNanos() <= nowNanos) {
+                remove(oldest);
+                expired.add(oldest);
+                continue;
             }
-            expired.add(request);
+            QueuedRequest<R> request = choose(queue, nowNanos, choice);
+            remove(request);
+            pool.mRate.onStart(request.estimate(), nowNanos);
+            return Optional.of(request);
         }
     }
 
+    private static <R> QueuedRequest<R> choose(
+            CustomerQueue<R> queue, long nowNanos, ToIntFunction<List<QueuedRequest<R>>> choice) {
+        List<QueuedRequest<R>> waiting =
+                queue.mRequests.stream()
+                        .limit(RequestChoice.LOOK_AHEAD)
+                        .filter(request -> request.deadlineNanos() > nowNanos)
+                        .toList();
+        boolean free = waiting.size() > 1 && queue.mPassedOver < RequestChoice.LOOK_AHEAD;
+        int index = free ? choice.applyAsInt(waiting) : 0;
+        queue.mPassedOver = index == 0 ? 0 : queue.mPassedOver + 1;
+        return waiting.get(index);
+    }
+
     /** Removes and returns the requests past their deadline; linear in the waiting requests. */
     List<QueuedRequest<R>> expire(long nowNanos) {
         List<QueuedRequest<R>> expired = new ArrayList<>();
--- a/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
@@ -38,6 +38,7 @@
     private final StandaloneSlots mStandalone;
     private final DemandSender<R> mDemand;
     private final Predicate<R> mIdempotent;
+    private final RequestChoice<R> mChoice;
     private final Map<BackendServerId, VmId> mOwners = new HashMap<>();
     private final Map<VmId, OwnerContact> mContacts = new HashMap<>();
     private final RunningReports<R> mReports;
@@ -48,11 +49,32 @@
     private long mEpoch;
     private long mNextReportNanos = Long.MIN_VALUE;
 
+    /** Creates the admission of a router without a view that starts the oldest request first. */
+    public RouterAdmission(
+            RouterIncarnation self,
+            FailureDomainId failureDomain,
+            String region,
+            int configuredRouters,
+            QueueLimits limits,
+            ServiceLedger ledger,
+            Predicate<R> idempotent) {
+        this(
+                self,
+                failureDomain,
+                region,
+                configuredRouters,
+                limits,
+                ledger,
+                idempotent,
+                RequestChoice.oldest());
+    }
+
     /**
      * Creates the admission of a router without a view.
      *
      * @param configuredRouters number of routers in the settings of the failure domain
      * @param idempotent whether a request may be cancelled and run again
+     * @param choice chooses among the requests of the customer to serve
      */
     public RouterAdmission(
             RouterIncarnation self,
@@ -61,7 +83,8 @@
             int configuredRouters,
             QueueLimits limits,
             ServiceLedger ledger,
-            Predicate<R> idempotent) {
+            Predicate<R> idempotent,
+            RequestChoice<R> choice) {
         mSelf = self;
         mLedger = ledger;
         mQueues = new RequestQueues<>(limits, ledger);
@@ -71,6 +94,7 @@
                         self, new OfferBook(failureDomain, region), mQueues, this::contact);
         mReports = new RunningReports<>(self, mRunning, this::ownerOf, this::contact);
         mIdempotent = idempotent;
+        mChoice = choice;
     }
 
     /** Queues a request, or refuses it when a limit is reached or its deadline is. */
@@ -132,7 +156,7 @@
                 continue;
             }
             Optional<QueuedRequest<R>> next =
-                    usable ? next(pool.get(), nowNanos, actions) : Optional.empty();
+                    usable ? next(pool.get(), server.get(), nowNanos, actions) : Optional.empty();
             if (next.isEmpty()) {
                 unused.add(number);
                 continue;
@@ -281,14 +305,20 @@
             if (slot.isEmpty()) {
                 return;
             }
-            next(pool, nowNanos, actions).ifPresent(r -> start(r, slot.get(), actions));
+            next(pool, slot.get().server(), nowNanos, actions)
+                    .ifPresent(r -> start(r, slot.get(), actions));
         }
     }
 
     private Optional<QueuedRequest<R>> next(
-            PoolId pool, long nowNanos, List<RouterAction<R>> actions) {
+            PoolId pool, BackendServerId server, long nowNanos, List<RouterAction<R>> actions) {
         List<QueuedRequest<R>> expired = new ArrayList<>();
-        Optional<QueuedRequest<R>> next = mQueues.next(pool, nowNanos, expired);
+        Optional<QueuedRequest<R>> next =
+                mQueues.next(
+                        pool,
+                        nowNanos,
+                        waiting -> mChoice.choose(server, waiting, nowNanos),
+                        expired);
         refuse(expired, actions);
         return next;
     }
--- a/src/test/java/org/jacinthwharf/request/admission/RequestQueuesTest.java
+++ b/src/test/java/org/jacinthwharf/request/admission/RequestQueuesTest.java
@@ -44,7 +44,7 @@
         }
         // One start each 100 ns leaves 10 requests, that is 1,000 ns of work, after 8 starts.
         for (int i = 1; i <= 8; i++) {
-            assertThat(mQueues.next(Fleet.POOL, 100 * i, expired).isPresent()).isTrue();
+            assertThat(mQueues.next(Fleet.POOL, 100 * i, w -> 0, expired).isPresent()).isTrue();
         }
         assertThat(offer(A, 800, 800 + 900))
                 .isEqualTo(Optional.of(RefusalReason.DEADLINE_UNREACHABLE));
@@ -57,11 +57,40 @@
         List<QueuedRequest<String>> expired = new ArrayList<>();
         offer(A, 0, 10);
         offer(A, 0, 100);
-        assertThat(mQueues.next(Fleet.POOL, 10, expired).get().deadlineNanos()).isEqualTo(100);
+        assertThat(mQueues.next(Fleet.POOL, 10, w -> 0, expired).get().deadlineNanos())
+                .isEqualTo(100);
         assertThat(expired).hasSize(1);
         offer(B, 10, 20);
         assertThat(mQueues.expire(20)).hasSize(1);
         assertThat(mQueues.waiting()).isEqualTo(0);
         assertThat(offer(B, 20, 20)).isEqualTo(Optional.of(RefusalReason.DEADLINE_PASSED));
     }
+
+    /** Guards against a cache hint that passes over a customer, or one request without end. */
+    @Test
+    void choiceIsAmongTheOldestEightOfTheCustomerWithTheSmallestCounterAndEndsAfterEight() {
+        List<Integer> choices = new ArrayList<>();
+        mLedger.charge(B, 5);
+        for (int i = 0; i < 20; i++) {
+            offer(A, i, 1_000);
+        }
+        offer(B, 20, 1_000);
+        List<Long> started = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            QueuedRequest<String> next =
+                    mQueues.next(
+                                    Fleet.POOL,
+                                    30,
+                                    waiting -> {
+                                        choices.add(waiting.size());
+                                        return waiting.size() - 1;
+                                    },
+                                    new ArrayList<>())
+                            .get();
+            assertThat(next.customer()).isEqualTo(A);
+            started.add(next.arrivalNanos());
+        }
+        assertThat(choices).containsExactly(8, 8, 8, 8, 8, 8, 8, 8, 8);
+        assertThat(started).containsExactly(7L, 8L, 9L, 10L, 11L, 12L, 13L, 14L, 0L, 16L).inOrder();
+    }
 }
