--- a/src/main/java/org/jacinthwharf/standin/StandInServer.java
+++ b/src/main/java/org/jacinthwharf/standin/StandInServer.java
@@ -28,6 +28,7 @@
     private static final Duration ANNOUNCE_TIMEOUT = Duration.ofMillis(800);
 
     private final StandInOptions mOptions;
+    private final Endpoint mAnnounced;
     private final StandInState mState;
     private final Server mServer = new Server();
     private final HttpClient mClient = new HttpClient();
@@ -38,7 +39,13 @@
 
     /** Creates a server that is not started. */
     public StandInServer(StandInOptions options) {
+        this(options, options.listen());
+    }
+
+    /** Creates a server that announces another address than its own, such as that of a relay. */
+    public StandInServer(StandInOptions options, Endpoint announced) {
         mOptions = options;
+        mAnnounced = announced;
         mState = new StandInState(mIncarnation + options.warmUpMillis());
     }
 
@@ -81,7 +88,7 @@
                 .put("incarnation", mIncarnation)
                 .put("sequence", mSequence)
                 .put("failureDomain", mOptions.failureDomain())
-                .put("address", mOptions.listen().toString())
+                .put("address", mAnnounced.toString())
                 .put("model", mOptions.model())
                 .put("version", mOptions.version())
                 .put("state", Ascii.toLowerCase(mState.state().name()))
