--- a/src/test/java/org/jacinthwharf/process/ControlProcessesTest.java
+++ b/src/test/java/org/jacinthwharf/process/ControlProcessesTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -24,6 +25,7 @@
 final class ControlProcessesTest {
     private static final List<String> MEMBERS = List.of("c1", "c2", "c3");
     private static final List<String> ROUTERS = List.of("r1", "r2");
+    private static final Duration LONG_FREEZE = Duration.ofSeconds(4);
     private static final String CUSTOMER = "{\"weight\":2,\"homeRegion\":\"west\"}";
 
     @TempDir private static Path sFolder;
@@ -52,9 +54,9 @@
         sFleet.close();
     }
 
-    /** Guards against a change that was accepted by a leader which is killed right after. */
+    /** Guards against a change that a leader accepts without a majority, or forgets. */
     @Test
-    void noAcceptedChangeIsLostAndNoRevisionFallsWhenLeadersAreKilled() throws Exception {
+    void noAcceptedChangeIsLostAndNoRevisionFallsWhenLeadersAreCutOffAndKilled() throws Exception {
         Set<String> accepted = new ConcurrentSkipListSet<>();
         AtomicBoolean stop = new AtomicBoolean();
         List<String> falls = new ArrayList<>();
@@ -62,11 +64,18 @@
         Thread watch = new Thread(() -> watchRevisions(falls, stop));
         changes.start();
         watch.start();
-        for (int round = 0; round < 3; round++) {
+        for (int round = 0; round < 2; round++) {
             awaitMore(accepted, 10);
             String leader = leader();
+            // A leader that accepts changes alone loses them with the kill.
+            for (String other : followers()) {
+                sFleet.relay(leader, other).cut();
+                sFleet.relay(other, leader).cut();
+            }
+            awaitMore(accepted, 10);
             sFleet.child(leader).kill();
             awaitMore(accepted, 10);
+            sFleet.rejoin();
             sFleet.child(leader).start();
             awaitAllMembersHaveTheSame();
         }
@@ -113,23 +122,31 @@
      */
     @Test
     void memberFrozenForLongComesBackWithoutDisturbing() throws Exception {
-        String frozen = leader();
+        freezeAndWake(leader());
+        freezeAndWake(followers().get(0));
+    }
+
+    private static void freezeAndWake(String frozen) throws Exception {
         sFleet.child(frozen).freeze();
+        long since = System.nanoTime();
         ProcessFleet.await("another member leads", () -> leaderExcept(frozen) != null);
+        String leader = leaderExcept(frozen);
         Set<String> accepted = new TreeSet<>();
-        for (int i = 0; i < 20; i++) {
-            sFleet.changed("/v1/customers/frozen-" + i, CUSTOMER, leaderExcept(frozen));
-            accepted.add("frozen-" + i);
+        // Longer than every election timeout, so that the frozen member's own has passed.
+        while (System.nanoTime() - since < LONG_FREEZE.toNanos()) {
+            accepted.add(frozen + "-frozen-" + accepted.size());
+            sFleet.changed(
+                    "/v1/customers/" + frozen + "-frozen-" + (accepted.size() - 1),
+                    CUSTOMER,
+                    leader);
         }
-        String leader = leaderExcept(frozen);
         long term = term(leader);
         sFleet.child(frozen).wake();
-        for (int i = 0; i < 20; i++) {
-            String id = "woken-" + i;
+        for (int i = 0; i < 50; i++) {
+            String id = frozen + "-woken-" + i;
             Call.Answer answer =
                     sFleet.change(leader, "/v1/customers/" + id, CUSTOMER, "command-" + id, 0);
             assertWithMessage("%s", answer).that(answer.status()).isEqualTo(200);
-            accepted.add(id);
         }
         ProcessFleet.await(
                 "the woken member has all changes", () -> customers(frozen).containsAll(accepted));
--- a/src/test/java/org/jacinthwharf/process/DomainProcessesTest.java
+++ b/src/test/java/org/jacinthwharf/process/DomainProcessesTest.java
@@ -72,12 +72,14 @@
             sFleet.setState("engine-solola", "cold");
             ProcessFleet.await("at most the cold limit runs", () -> running() <= COLD_LIMIT);
             long before = sFleet.requests("engine-solola");
+            int[] most = {0};
             ProcessFleet.await(
-                    "the cold server gets work within its limit",
+                    "the cold server gets work",
                     () -> {
-                        assertThat(running()).isAtMost(COLD_LIMIT);
+                        most[0] = Math.max(most[0], running());
                         return sFleet.requests("engine-solola") >= before + 5;
                     });
+            assertThat(most[0]).isAtMost(COLD_LIMIT);
             sFleet.setState("engine-solola", "warm");
             assertThat(load.failures()).isEmpty();
         }
--- a/src/test/java/org/jacinthwharf/process/LinksTest.java
+++ b/src/test/java/org/jacinthwharf/process/LinksTest.java
@@ -4,7 +4,6 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -69,10 +68,8 @@
                 "both sides are up", () -> mOpened.mUp.size() + mAccepted.mUp.size() == 2);
     }
 
-    private static InetSocketAddress freeAddress() throws Exception {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(s.getInetAddress(), s.getLocalPort());
-        }
+    private static InetSocketAddress freeAddress() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), Ports.free());
     }
 
     @AfterEach
--- a/src/test/java/org/jacinthwharf/process/ProcessFleet.java
+++ b/src/test/java/org/jacinthwharf/process/ProcessFleet.java
@@ -4,9 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -17,7 +15,6 @@
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.Callable;
-import java.util.concurrent.ThreadLocalRandom;
 import org.jacinthwharf.process.settings.Endpoint;
 import org.jacinthwharf.standin.StandInOptions;
 import org.jacinthwharf.standin.StandInServer;
@@ -35,11 +32,6 @@
 
     private static final Duration POLL = Duration.ofMillis(50);
     private static final String TOKEN = "token-of-this-test";
-    // Below the ports that the kernel gives to outgoing connections, so that a process that is
-    // started again finds its ports free.
-    private static final int FIRST_PORT = 11_000;
-    private static final int LAST_PORT = 32_000;
-
     private final Path mFolder;
     private final Map<String, String> mDomains = new TreeMap<>();
     private final Map<String, Child> mChildren = new TreeMap<>();
@@ -47,7 +39,6 @@
     private final Map<String, Relay> mRelays = new TreeMap<>();
     private final Map<String, String> mStandIns = new TreeMap<>();
     private final List<StandInServer> mServers = new ArrayList<>();
-    private int mNextPort = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT - 1_000);
 
     /**
      * Starts a fleet and waits until it takes changes and all routers are ready.
@@ -68,9 +59,9 @@
             mListen.put(
                     name,
                     Map.of(
-                            "http", "127.0.0.1:" + freePort(),
-                            "peer", "127.0.0.1:" + freePort(),
-                            "admin", "127.0.0.1:" + freePort()));
+                            "http", "127.0.0.1:" + Ports.free(),
+                            "peer", "127.0.0.1:" + Ports.free(),
+                            "admin", "127.0.0.1:" + Ports.free()));
         }
         for (String name : mDomains.keySet()) {
             boolean isControl = name.startsWith("c");
@@ -104,19 +95,6 @@
         awaitRevision();
     }
 
-    private int freePort() {
-        while (true) {
-            mNextPort = mNextPort >= LAST_PORT ? FIRST_PORT : mNextPort + 1;
-            try (ServerSocket s =
-                    new ServerSocket(mNextPort, 1, InetAddress.getLoopbackAddress())) {
-                return s.getLocalPort();
-            } catch (IOException e) {
-                // The port is in use; the next one is tried.
-                continue;
-            }
-        }
-    }
-
     private ObjectNode settings(String name, boolean isControl) throws IOException {
         ObjectNode s = Call.JSON.createObjectNode();
         s.put("role", isControl ? "control" : "router")
@@ -150,7 +128,7 @@
         if (from.equals(to) || (from.startsWith("c") && to.startsWith("r"))) {
             return target.toString();
         }
-        int port = freePort();
+        int port = Ports.free();
         mRelays.put(
                 from + ">" + to,
                 new Relay(port, new InetSocketAddress(target.ip(), target.port())));
@@ -221,14 +199,14 @@
             long token,
             int errorPercent)
             throws Exception {
-        Endpoint listen = Endpoint.parse("127.0.0.1:" + freePort());
+        Endpoint listen = Endpoint.parse("127.0.0.1:" + Ports.free());
         List<Endpoint> routers =
                 mDomains.keySet().stream()
                         .filter(r -> r.startsWith("r") && mDomains.get(r).equals(domain))
                         .map(r -> Endpoint.parse(http(r)))
                         .toList();
         // Routers reach the server through a relay, so that a test can stall connections to it.
-        Endpoint announced = Endpoint.parse("127.0.0.1:" + freePort());
+        Endpoint announced = Endpoint.parse("127.0.0.1:" + Ports.free());
         mRelays.put(
                 ">" + id,
                 new Relay(announced.port(), new InetSocketAddress(listen.ip(), listen.port())));
