Ask for a slot on arrival also when offers are out of date

Cause: a router counted each asked-for slot as taken until the owner's next offer, up to 1 s later. After as many arrivals as there were free slots it asked nobody until the next exchange round, so a request waited up to 200 ms at an idle backend server.

Ruled out: offers on every change of the free slots (a message to every router for each request).

Change: a slot that this router returns counts as free again; without an offered free slot the nearest owner is asked, once in 20 ms at most. The owner's sum of pending grants per customer replaces a scan of all of them for each head of a demand.

Conclusion: an arrival asks at once; the round is for what saturation leaves.

--- a/src/main/java/org/jacinthwharf/request/admission/AdmissionTimes.java
+++ b/src/main/java/org/jacinthwharf/request/admission/AdmissionTimes.java
@@ -19,6 +19,9 @@
     /** Routers repeat a standing demand once per round. */
     static final long EXCHANGE_ROUND = Duration.ofMillis(200).toNanos();
 
+    /** Without an offered free slot, arriving requests cause one demand in this time at most. */
+    static final long ASK_PAUSE = Duration.ofMillis(20).toNanos();
+
     /** Offers and running reports are repeated at this interval. */
     static final long REPEAT_INTERVAL = Duration.ofSeconds(1).toNanos();
 
--- a/src/main/java/org/jacinthwharf/request/admission/DemandBook.java
+++ b/src/main/java/org/jacinthwharf/request/admission/DemandBook.java
@@ -39,6 +39,31 @@
 
     private record Pending(String customer, VmId router, double cost, long grantedNanos) {}
 
+    /** Cost of the pending grants of one customer, so that a choice need not look at each grant. */
+    private static final class PendingSum {
+        private final Map<VmId, Double> mCosts = new HashMap<>();
+        private double mTotal;
+        private int mGrants;
+
+        void add(Pending pending) {
+            mCosts.merge(pending.router(), pending.cost(), Double::sum);
+            mTotal += pending.cost();
+            mGrants++;
+        }
+
+        /** Takes a grant out; returns false if it was the last, so that no rounding error stays. */
+        boolean without(Pending pending) {
+            mCosts.merge(pending.router(), -pending.cost(), Double::sum);
+            mTotal -= pending.cost();
+            mGrants--;
+            return mGrants > 0;
+        }
+
+        double exceptOf(VmId router) {
+            return Math.max(0, mTotal - mCosts.getOrDefault(router, 0.0));
+        }
+    }
+
     private static final class Head {
         final String mCustomer;
         double mCounter;
@@ -64,6 +89,7 @@
 
     private final Map<PoolId, Map<VmId, Entry>> mEntries = new HashMap<>();
     private final ArrayDeque<Pending> mPending = new ArrayDeque<>();
+    private final Map<String, PendingSum> mPendingSums = new HashMap<>();
 
     /** Stores a demand; returns its pool, or empty if it is malformed or older than the known. */
     Optional<PoolId> accept(Demand demand, long nowNanos) {
@@ -121,13 +147,17 @@
         head.mWaiting--;
         head.mCounter += head.mCost;
         VmId router = chosen.entry().mRouter.vm();
-        mPending.addLast(new Pending(head.mCustomer, router, head.mCost, nowNanos));
+        Pending pending = new Pending(head.mCustomer, router, head.mCost, nowNanos);
+        mPending.addLast(pending);
+        mPendingSums.computeIfAbsent(head.mCustomer, c -> new PendingSum()).add(pending);
     }
 
     private Optional<Candidate> candidate(PoolId pool, long nowNanos) {
         while (!mPending.isEmpty()
                 && nowNanos - mPending.getFirst().grantedNanos() > PENDING_LIFETIME) {
-            mPending.removeFirst();
+            Pending lapsed = mPending.removeFirst();
+            mPendingSums.computeIfPresent(
+                    lapsed.customer(), (c, sum) -> sum.without(lapsed) ? sum : null);
         }
         Candidate best = null;
         for (Entry entry : mEntries.getOrDefault(pool, Map.of()).values()) {
@@ -148,14 +178,8 @@
     }
 
     private double grantedElsewhere(Head head, Entry entry) {
-        double cost = 0;
-        for (Pending pending : mPending) {
-            if (pending.customer().equals(head.mCustomer)
-                    && !pending.router().equals(entry.mRouter.vm())) {
-                cost += pending.cost();
-            }
-        }
-        return cost;
+        PendingSum sum = mPendingSums.get(head.mCustomer);
+        return sum == null ? 0 : sum.exceptOf(entry.mRouter.vm());
     }
 
     /** Returns the number of requests waiting for the pool in all routers. */
--- a/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
+++ b/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
@@ -1,8 +1,11 @@
 package org.jacinthwharf.request.admission;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
@@ -32,6 +35,7 @@
     private final Function<VmId, OwnerContact> mContacts;
     private final DemandLog mLog = new DemandLog();
     private final Set<FailureDomainId> mOut = new HashSet<>();
+    private final Map<PoolId, Long> mAskedNearest = new HashMap<>();
     private Set<Standing> mStanding = new HashSet<>();
     // Owners asked since the last report, and before it: their grants may still be on the way.
     private Set<VmId> mAsked = new TreeSet<>();
@@ -88,14 +92,30 @@
         return asked;
     }
 
-    /** Asks for an offered free slot at once, without waiting for the next round. */
+    /**
+     * Asks for an offered free slot at once, without waiting for the next round. Where none is
+     * offered, offers may be out of date: then the nearest owner is asked, but not for each request
+     * of a burst.
+     */
     void onArrival(PoolId pool, long nowNanos, List<RouterAction<R>> actions) {
-        if (mQueues.waiting(pool) > 0) {
-            mOffers.takeFree(pool, nowNanos)
-                    .ifPresent(owner -> send(pool, owner, nowNanos, actions));
+        if (mQueues.waiting(pool) == 0) {
+            return;
+        }
+        Optional<VmId> free = mOffers.takeFree(pool, nowNanos);
+        if (free.isPresent()) {
+            send(pool, free.get(), nowNanos, actions);
+        } else if (nowNanos - mAskedNearest.getOrDefault(pool, Long.MIN_VALUE / 2)
+                >= AdmissionTimes.ASK_PAUSE) {
+            mAskedNearest.put(pool, nowNanos);
+            mOffers.nearest(pool, nowNanos).ifPresent(o -> send(pool, o, nowNanos, actions));
         }
     }
 
+    /** Notes that a slot went back to its owner. */
+    void onReturned(PoolId pool, VmId owner) {
+        mOffers.onReturned(pool, owner);
+    }
+
     /** Repeats the standing demand of every pool. */
     void round(long nowNanos, List<RouterAction<R>> actions) {
         Set<Standing> before = mStanding;
--- a/src/main/java/org/jacinthwharf/request/admission/OfferBook.java
+++ b/src/main/java/org/jacinthwharf/request/admission/OfferBook.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.jacinthwharf.id.FailureDomainId;
 import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.id.VmId;
@@ -122,6 +123,21 @@
         return owner;
     }
 
+    /** Notes that this router returned a slot of an owner, which is free again there. */
+    void onReturned(PoolId pool, VmId owner) {
+        Entry entry = mOffers.getOrDefault(pool, Map.of()).get(owner);
+        if (entry != null) {
+            entry.mFreeSlots++;
+        }
+    }
+
+    /** Returns the nearest owner that has servers of the pool, with or without free slots. */
+    Optional<VmId> nearest(PoolId pool, long nowNanos) {
+        return Stream.of(Distance.values())
+                .flatMap(d -> owners(pool, d, nowNanos).stream())
+                .findFirst();
+    }
+
     private boolean isUsable(Entry entry, long nowNanos) {
         return nowNanos - entry.mReceivedNanos <= OFFER_LIFETIME
                 && !mOut.contains(entry.mFailureDomain);
--- a/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
@@ -203,7 +203,11 @@
         running.get().charge().finish(measured);
         mRunning.remove(slot);
         ownerOf(slot)
-                .ifPresent(to -> sendReturn(to, slot.server(), List.of(slot.number()), actions));
+                .ifPresent(
+                        to -> {
+                            sendReturn(to, slot.server(), List.of(slot.number()), actions);
+                            mDemand.onReturned(slot.pool(), to);
+                        });
         startStandalone(slot.pool(), nowNanos, actions);
         return actions;
     }
