Finish moves with near deadlines, and extrapolate the rate of new routes

Ruled out: a shorter commit time (a push may take 2 s). Change: a move may be done from 4 s before its deadline; the rate of a route younger than a minute is extrapolated, from 2 s on.

--- a/src/main/java/org/jacinthwharf/process/router/VersionDriver.java
+++ b/src/main/java/org/jacinthwharf/process/router/VersionDriver.java
@@ -38,6 +38,7 @@
     // Bucket i holds latencies up to 2^(i/4) ms; 80 buckets reach 17 minutes.
     private static final int BUCKETS = 80;
     private static final String OTHER_ROUTES = "other";
+    private static final long MIN_OBSERVED_SECONDS = 2;
     private static final long MINUTE_NANOS = TimeUnit.MINUTES.toNanos(1);
 
     private final RouterIncarnation mSelf;
@@ -59,9 +60,11 @@
         long mErrors;
         int mRunning;
         long mRecent;
+        long mFirstSecond = Long.MAX_VALUE;
 
         void noteArrival(long nowNanos) {
             long second = TimeUnit.NANOSECONDS.toSeconds(nowNanos);
+            mFirstSecond = Math.min(mFirstSecond, second);
             long[] last = mRecentSeconds.peekLast();
             if (last == null || last[0] != second) {
                 mRecentSeconds.add(new long[] {second, 0});
@@ -70,12 +73,18 @@
             mRecent++;
         }
 
-        long lastMinute(long nowNanos) {
+        /**
+         * Returns the requests per minute, extrapolated while the route is younger than a minute: a
+         * busy route that just started must not count as one with a low rate.
+         */
+        long perMinute(long nowNanos) {
             long first = TimeUnit.NANOSECONDS.toSeconds(nowNanos - MINUTE_NANOS);
             while (!mRecentSeconds.isEmpty() && mRecentSeconds.peekFirst()[0] < first) {
                 mRecent -= mRecentSeconds.removeFirst()[1];
             }
-            return mRecent;
+            long age = TimeUnit.NANOSECONDS.toSeconds(nowNanos) - mFirstSecond;
+            long observed = Math.max(MIN_OBSERVED_SECONDS, Math.min(60, age));
+            return mRecent * 60 / observed;
         }
     }
 
@@ -102,8 +111,7 @@
         PoolId current = PoolId.of(id, VersionId.of(model.getMove().getFromVersion()));
         long now = mLoop.nowNanos();
         long recent =
-                lastMinute(target, request.route(), now)
-                        + lastMinute(current, request.route(), now);
+                perMinute(target, request.route(), now) + perMinute(current, request.route(), now);
         VersionSplit.RouteState state =
                 new VersionSplit.RouteState(
                         mVerdict.isStopped(model.getMove().getId()),
@@ -123,9 +131,9 @@
         return Owners.ownerOf(BackendServerId.of(moveId), routers).orElseThrow().equals(mSelf.vm());
     }
 
-    private long lastMinute(PoolId pool, String route, long now) {
+    private long perMinute(PoolId pool, String route, long now) {
         RouteCounts counts = mRoutes.get(new RouteKey(pool, route));
-        return counts == null ? 0 : counts.lastMinute(now);
+        return counts == null ? 0 : counts.perMinute(now);
     }
 
     private long running(PoolId pool) {
--- a/src/main/java/org/jacinthwharf/version/MoveSupervisor.java
+++ b/src/main/java/org/jacinthwharf/version/MoveSupervisor.java
@@ -172,11 +172,15 @@
 
     private Optional<MoveStep> watchStep(
             Model model, Watch watch, double progress, long nowMillis, long nowNanos) {
-        long running = mBook.running(model.getId(), model.getMove().getFromVersion(), nowNanos);
-        if (progress >= WATCH_END && running == 0 && watch.mVerdict.isGood()) {
+        VersionMove move = model.getMove();
+        long running = mBook.running(model.getId(), move.getFromVersion(), nowNanos);
+        // Before a near deadline 5% of the time is shorter than the time to commit the last step.
+        boolean watched =
+                progress >= WATCH_END || nowMillis >= move.getDeadlineMillis() - 2 * COMMIT_MILLIS;
+        if (watched && running == 0 && watch.mVerdict.isGood()) {
             return Optional.of(stepOf(model, MovePhase.DONE, 10_000, "done"));
         }
-        if (isLate(model.getMove(), nowMillis)) {
+        if (isLate(move, nowMillis)) {
             return end(
                     model,
                     MovePhase.MISSED_DEADLINE,
