Count cancelled requests at a cold server until it announces fewer

Change: a SlotReturn says that its requests were cancelled; the owner of a cold server counts them as unattributed until the server announces fewer. Warm servers get their slots back at once, since their limit is soft.

--- a/src/main/java/org/jacinthwharf/process/router/AdmissionDriver.java
+++ b/src/main/java/org/jacinthwharf/process/router/AdmissionDriver.java
@@ -74,9 +74,17 @@
         mRouter.onProgress(slot, measured);
     }
 
-    /** Returns a slot whose request ended after costing {@code measured} cost units. */
-    void ended(Slot slot, double measured) {
-        run(mRouter.onEnded(slot, measured, now()));
+    /**
+     * Returns a slot whose request ended after costing {@code measured} cost units.
+     *
+     * @param mayStillRun whether the server may run the request until it notices that it was given
+     *     up
+     */
+    void ended(Slot slot, double measured, boolean mayStillRun) {
+        run(
+                mayStillRun
+                        ? mRouter.onCancelled(slot, measured, now())
+                        : mRouter.onEnded(slot, measured, now()));
     }
 
     /** Takes a message about slots; returns false if it is about something else. */
--- a/src/main/java/org/jacinthwharf/process/router/RequestRun.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestRun.java
@@ -66,6 +66,8 @@
     private boolean mStreamStarted;
     private boolean mOnNewConnection;
     private boolean mSent;
+    // Whether the server may run the attempt although this router waits for it no more.
+    private boolean mMayStillRun;
     private Ending mEnding = Ending.WITHOUT_EVIDENCE;
     private boolean mAnswered;
     private boolean mDeadlinePassed;
@@ -235,7 +237,8 @@
 
     private void releaseSlot() {
         noteAttemptEnd();
-        mSlot.ifPresent(s -> mServices.admission().ended(s, measuredCost()));
+        mSlot.ifPresent(s -> mServices.admission().ended(s, measuredCost(), mMayStillRun));
+        mMayStillRun = false;
         mSlot = Optional.empty();
         mOpen = Optional.empty();
         mSilence = Optional.empty();
@@ -315,6 +318,7 @@
 
     private void cancelOpen(String reason) {
         mReceiver.giveUp();
+        mMayStillRun |= mOpen.isPresent();
         mOpen.ifPresent(o -> o.cancel(reason));
         mOpen = Optional.empty();
     }
@@ -356,6 +360,7 @@
         noteEvidence(event);
         if (isAnswerOver(event)) {
             mOpen = Optional.empty();
+            mMayStillRun = event instanceof AttemptEvent.ConnectionClosed;
         }
         Decision decision = mAttempts.onEvent(event, now());
         boolean ended =
--- a/src/main/java/org/jacinthwharf/request/admission/OwnerAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/OwnerAdmission.java
@@ -145,7 +145,11 @@
             askForReport(router.get(), true, nowNanos, actions);
         }
         if (server != null) {
-            server.onReturned(router.get(), message.getSlotsList(), nowNanos);
+            if (message.getCancelled()) {
+                server.onCancelled(router.get(), message.getSlotsList(), nowNanos);
+            } else {
+                server.onReturned(router.get(), message.getSlotsList(), nowNanos);
+            }
             server.pool().ifPresent(pool -> grant(pool, nowNanos, actions));
             publishChanges(nowNanos, actions);
         }
--- a/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
@@ -183,7 +183,7 @@
             } else {
                 mDemand.send(pool.get(), owner.get(), nowNanos, actions);
             }
-            sendReturn(owner.get(), server.get(), unused, actions);
+            sendReturn(owner.get(), server.get(), unused, false, actions);
         }
         return actions;
     }
@@ -195,6 +195,16 @@
 
     /** Handles the end of a request: settles its cost and returns the slot. */
     public List<RouterAction<R>> onEnded(Slot slot, double measured, long nowNanos) {
+        return onEnded(slot, measured, false, nowNanos);
+    }
+
+    /** Handles a request that was given up and that the server may run until it notices. */
+    public List<RouterAction<R>> onCancelled(Slot slot, double measured, long nowNanos) {
+        return onEnded(slot, measured, true, nowNanos);
+    }
+
+    private List<RouterAction<R>> onEnded(
+            Slot slot, double measured, boolean cancelled, long nowNanos) {
         List<RouterAction<R>> actions = new ArrayList<>();
         Optional<RunningRequests.Running<R>> running = mRunning.get(slot);
         if (running.isEmpty()) {
@@ -205,7 +215,8 @@
         ownerOf(slot)
                 .ifPresent(
                         to -> {
-                            sendReturn(to, slot.server(), List.of(slot.number()), actions);
+                            List<Long> slots = List.of(slot.number());
+                            sendReturn(to, slot.server(), slots, cancelled, actions);
                             mDemand.onReturned(slot.pool(), to);
                         });
         startStandalone(slot.pool(), nowNanos, actions);
@@ -347,7 +358,11 @@
     }
 
     private void sendReturn(
-            VmId to, BackendServerId server, List<Long> slots, List<RouterAction<R>> actions) {
+            VmId to,
+            BackendServerId server,
+            List<Long> slots,
+            boolean cancelled,
+            List<RouterAction<R>> actions) {
         OwnerContact contact = contact(to);
         SlotReturn message =
                 SlotReturn.newBuilder()
@@ -355,6 +370,7 @@
                         .setRouterIncarnation(mSelf.incarnation())
                         .setServer(server.value())
                         .addAllSlots(slots)
+                        .setCancelled(cancelled)
                         .setNumber(contact.nextReturn())
                         .setGrantsSeen(contact.grantsSeen())
                         .build();
--- a/src/main/java/org/jacinthwharf/request/admission/ServerSlots.java
+++ b/src/main/java/org/jacinthwharf/request/admission/ServerSlots.java
@@ -222,6 +222,23 @@
         mUnattributed.attribute(unknown.size());
     }
 
+    /**
+     * Handles requests that their router gave up. A cold server may run them until it notices that
+     * their connections are closed, so there they count until it announces fewer; the limit of a
+     * warm server is soft, and waiting for announcements would leave its slots idle.
+     */
+    void onCancelled(VmId router, List<Long> slots, long nowNanos) {
+        if (isCold()) {
+            long held =
+                    slots.stream()
+                            .map(mHeld::get)
+                            .filter(h -> h != null && h.router().vm().equals(router))
+                            .count();
+            mUnattributed.addLost((int) held, nowNanos);
+        }
+        onReturned(router, slots, nowNanos);
+    }
+
     /** Keeps the slots of a lost router counted until the server announces fewer. */
     void onRouterLost(Predicate<RouterIncarnation> lost, long nowNanos) {
         int count = 0;
