--- a/src/main/java/org/jacinthwharf/process/router/RequestRun.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestRun.java
@@ -2,11 +2,8 @@
 
 import com.google.common.base.Ascii;
 import com.google.common.flogger.FluentLogger;
-import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -27,10 +24,8 @@
 import org.jacinthwharf.request.outcome.RequestOutcome;
 import org.jacinthwharf.request.outcome.StoredAnswers;
 import org.jacinthwharf.request.outcome.StreamAssembler;
-import org.jacinthwharf.wire.generated.ClaimEnd;
 import org.jacinthwharf.wire.generated.ClaimEndState;
 import org.jacinthwharf.wire.generated.ClaimReply;
-import org.jacinthwharf.wire.generated.ClaimRequest;
 import org.jacinthwharf.wire.generated.StoredAnswer;
 
 /**
@@ -49,6 +44,8 @@
     private final CallerExchange mExchange;
     private final RequestServices mServices;
     private final RequestAttempts mAttempts;
+    private final RequestClaim mClaim;
+    private final CallerAnswers mAnswers;
     private final AnswerMatcher mMatcher;
     private final StreamAssembler mAssembler;
     private final long mArrivalNanos;
@@ -59,7 +56,6 @@
     private Optional<SilenceDetector> mSilence = Optional.empty();
     private AttemptReceiver mReceiver;
     private AttemptId mAttemptId;
-    private String mClaimId = "";
     private long mAttemptStartNanos;
     private long mEvents;
     private long mLastWriteNanos;
@@ -69,7 +65,6 @@
     // Whether the server may run the attempt although this router waits for it no more.
     private boolean mMayStillRun;
     private Ending mEnding = Ending.WITHOUT_EVIDENCE;
-    private boolean mAnswered;
     private boolean mDeadlinePassed;
 
     RequestRun(
@@ -82,6 +77,8 @@
         mExchange = exchange;
         mServices = services;
         mAttempts = attempts;
+        mClaim = new RequestClaim(request, services.self(), services.claims());
+        mAnswers = new CallerAnswers(request, exchange, services.metrics());
         mMatcher = new AnswerMatcher(request.id());
         mAssembler =
                 request.lastEvent()
@@ -115,7 +112,7 @@
 
     private void apply(Decision decision) {
         if (decision instanceof Decision.Claim c) {
-            claim(c);
+            mClaim.claim(c, this::onClaimReply);
         } else if (decision instanceof Decision.ClaimLater later) {
             mServices
                     .loop()
@@ -137,52 +134,18 @@
 
     // --- Claims ---------------------------------------------------------------------------------
 
-    private void claim(Decision.Claim claim) {
-        mClaimId = claim.claimId();
-        ClaimRequest message =
-                ClaimRequest.newBuilder()
-                        .setClaimId(claim.claimId())
-                        .setCustomer(mRequest.customer().value())
-                        .setRequestKey(mRequest.key().orElseThrow().value())
-                        .setBodyHash(bodyHash())
-                        .setRouter(mServices.self().vm().value())
-                        .setRouterIncarnation(mServices.self().incarnation())
-                        .setTimeoutMillis(claim.timeoutMillis())
-                        .build();
-        mServices.claims().claim(message, this::onClaimReply);
-    }
-
     private void onClaimReply(ClaimReply reply) {
         apply(mAttempts.onClaim(reply, now()));
     }
 
-    private ByteString bodyHash() {
-        byte[] hash =
-                Hashing.sha256()
-                        .newHasher()
-                        .putString(mRequest.method(), StandardCharsets.UTF_8)
-                        .putChar('\n')
-                        .putString(mRequest.path(), StandardCharsets.UTF_8)
-                        .putChar('\n')
-                        .putBytes(mRequest.body().toByteArray())
-                        .hash()
-                        .asBytes();
-        return ByteString.copyFrom(hash);
+    private void endClaim(ClaimEndState state, Runnable whenCommitted) {
+        Optional<StoredAnswer> answer =
+                receiver().map(r -> StoredAnswers.of(r.status(), r.contentType(), r.body()));
+        mClaim.end(state, answer, whenCommitted);
     }
 
-    private void endClaim(ClaimEndState state, Runnable whenCommitted) {
-        ClaimEnd.Builder end =
-                ClaimEnd.newBuilder()
-                        .setClaimId(mClaimId)
-                        .setCustomer(mRequest.customer().value())
-                        .setRequestKey(mRequest.key().orElseThrow().value())
-                        .setState(state);
-        if (state == ClaimEndState.CLAIM_END_DONE && mReceiver != null) {
-            end.setAnswer(
-                    StoredAnswers.of(
-                            mReceiver.status(), mReceiver.contentType(), mReceiver.body()));
-        }
-        mServices.claims().end(end.build(), whenCommitted);
+    private Optional<AttemptReceiver> receiver() {
+        return Optional.ofNullable(mReceiver);
     }
 
     // --- Slots ----------------------------------------------------------------------------------
@@ -206,7 +169,7 @@
     void onSlot(Slot slot) {
         mSlot = Optional.of(slot);
         long now = now();
-        if (mAnswered) {
+        if (mAnswers.isAnswered()) {
             releaseSlot();
         } else if (now >= slot.usableUntilNanos()) {
             // The process may have been frozen since the grant arrived.
@@ -406,7 +369,7 @@
         }
         mSilence.ifPresent(s -> onVerdict(s.onTick(now)));
         boolean quiet = now - mLastWriteNanos > STREAM_COMMENT_INTERVAL.toNanos();
-        if (mStreamStarted && !mAnswered && quiet) {
+        if (mStreamStarted && !mAnswers.isAnswered() && quiet) {
             mLastWriteNanos = now;
             mExchange.write(STREAM_COMMENT, () -> {});
         }
@@ -454,8 +417,8 @@
     private void onCallerGone() {
         mServices.metrics().countEvent("caller_gone");
         // A call that must not run twice goes on, so that its answer is kept for its request key.
-        if (mRequest.idempotent() && !mAnswered) {
-            mAnswered = true;
+        if (mRequest.idempotent() && !mAnswers.isAnswered()) {
+            mAnswers.callerGone();
             if (mQueued != null) {
                 mServices.admission().cancel(mQueued);
             }
@@ -498,57 +461,14 @@
     }
 
     private void answer(RequestOutcome outcome) {
-        if (mAnswered) {
+        if (mAnswers.isAnswered()) {
             return;
         }
-        mAnswered = true;
         if (outcome instanceof RequestOutcome.Answer) {
-            answerFromServer();
-        } else if (outcome instanceof RequestOutcome.EarlierAnswer e) {
-            StoredAnswer stored = e.answer();
-            mExchange.answer(
-                    stored.getStatus(),
-                    stored.getContentType(),
-                    Map.of("X-Answer-Kept", Boolean.toString(stored.getBodyKept())),
-                    stored.getBody());
-        } else if (outcome instanceof RequestOutcome.NotRun n) {
-            refuse(n.reason(), true);
-        } else if (outcome instanceof RequestOutcome.Unknown u) {
-            refuse(u.reason(), false);
+            mServices.recordCost(mRequest, measuredCost());
         }
         double seconds = (now() - mArrivalNanos) / 1e9;
-        String name = outcome.getClass().getSimpleName();
-        mServices.metrics().observeRequest(mRequest.stream() ? "stream" : "whole", name, seconds);
-        LOGGER.atFine().log(
-                "event=request_ended request=%s customer=%s outcome=%s seconds=%.3f",
-                mRequest.id(), mRequest.customer(), name, seconds);
+        mAnswers.answer(outcome, receiver(), mStreamStarted, seconds);
         mServices.onEnd(this);
     }
-
-    private void answerFromServer() {
-        mServices.recordCost(mRequest, measuredCost());
-        if (mStreamStarted) {
-            mExchange.endStream();
-            return;
-        }
-        Map<String, String> headers =
-                mRequest.idempotent() || mRequest.key().isPresent()
-                        ? Map.of(RequestHeaders.REQUEST_ID, mRequest.callerId())
-                        : Map.of(
-                                RequestHeaders.REQUEST_ID,
-                                mRequest.callerId(),
-                                RequestHeaders.REQUEST_KEY,
-                                "none");
-        mExchange.answer(mReceiver.status(), mReceiver.contentType(), headers, mReceiver.body());
-    }
-
-    private void refuse(RefusalReason reason, boolean notRun) {
-        mServices.metrics().countRefusal(reason);
-        if (mStreamStarted) {
-            // The caller resumes with the id of the last event it got.
-            mExchange.abort();
-        } else {
-            mExchange.refuse(reason, notRun, "request " + mRequest.callerId());
-        }
-    }
 }
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.handler.SizeLimitHandler;
 import org.jacinthwharf.connection.FirstByteTimes;
 import org.jacinthwharf.connection.Links;
@@ -57,8 +56,6 @@
     private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(200);
     private static final Duration VIEW_TICK = Duration.ofMillis(100);
     private static final Duration SECOND = Duration.ofSeconds(1);
-    private static final Duration STOP_POLL = Duration.ofMillis(50);
-    private static final long DRAIN_IDLE_MS = 500;
     // In cost units; stands for a customer's mean until its first request has ended.
     private static final double DEFAULT_COST = 64;
 
@@ -412,21 +409,16 @@
     public void stop() {
         LOGGER.atInfo().log("event=router_draining vm=%s", mSelf.vm());
         mDraining = true;
-        sleep(Duration.ofMillis(mSettings.limits().drainDelayMs()));
-        closeListener();
-        long limit =
-                System.nanoTime() + Duration.ofMillis(mSettings.limits().maxDeadlineMs()).toNanos();
-        while (openRequests() > 0 && System.nanoTime() < limit) {
-            sleep(STOP_POLL);
-        }
-        CompletableFuture.runAsync(this::leave, mLoop).join();
-        // Lets the last messages (slots returned, lease given up) leave the process.
-        sleep(STOP_POLL);
-        mNetwork.close();
-        closeEdge();
+        new PlannedStop(mSettings.limits(), mHttpServer, mHttpClient)
+                .run(this::openRequests, () -> onLoop(this::leave), mNetwork::close);
+        mAdmin.close();
         LOGGER.atInfo().log("event=router_stopped vm=%s open=%d", mSelf.vm(), openRequests());
     }
 
+    private void onLoop(Runnable task) {
+        CompletableFuture.runAsync(task, mLoop).join();
+    }
+
     /** Gives up the lease; whoever still sends on an open connection hears "not run". */
     private void leave() {
         mLeaving = true;
@@ -436,34 +428,4 @@
     private int openRequests() {
         return CompletableFuture.supplyAsync(mRuns::size, mLoop).join();
     }
-
-    private void closeListener() {
-        try {
-            ServerConnector connector = (ServerConnector) mHttpServer.getConnectors()[0];
-            connector.close();
-            // Connections without a request close soon; those with one ignore the idle time.
-            connector.getConnectedEndPoints().forEach(e -> e.setIdleTimeout(DRAIN_IDLE_MS));
-        } catch (RuntimeException e) {
-            LOGGER.atWarning().withCause(e).log("event=listener_close_failed");
-        }
-    }
-
-    private void closeEdge() {
-        try {
-            mHttpServer.stop();
-            mHttpClient.stop();
-        } catch (Exception e) {
-            // The process ends anyway; nothing waits for these resources.
-            LOGGER.atWarning().withCause(e).log("event=edge_close_failed");
-        }
-        mAdmin.close();
-    }
-
-    private static void sleep(Duration time) {
-        try {
-            Thread.sleep(time.toMillis());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
