Clamp counters when a lost router is back

Cause: ServiceLedger.onRejoin, which keeps a customer that got much on one side of a partition from being passed over after the rejoin, was tested but never called.

Ruled out: clamping on every merge (hides the gap that the exchange is to close).

Change: ServiceExchange holds the exchange of totals; PeerLinks tells when a router that was lost for 2 s has a link again, and the ledger clamps for 12 s. The bound uses upper bounds of slots and capacity.

--- a/src/main/java/org/jacinthwharf/process/router/PeerLinks.java
+++ b/src/main/java/org/jacinthwharf/process/router/PeerLinks.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -40,6 +41,8 @@
     private Consumer<VmId> mOnControlUp = m -> {};
     private Consumer<VmId> mOnControlDown = m -> {};
     private Consumer<VmId> mOnRouterDown = r -> {};
+    private Consumer<VmId> mOnRouterBack = r -> {};
+    private final Set<VmId> mLost = new HashSet<>();
 
     /**
      * Creates links that are not open.
@@ -86,11 +89,17 @@
                                 LOST_AFTER,
                                 () -> {
                                     if (!mRouters.containsKey(vm)) {
+                                        mLost.add(vm);
                                         action.accept(vm);
                                     }
                                 });
     }
 
+    /** Sets what runs when a router that was lost has a link again. */
+    void onRouterBack(Consumer<VmId> action) {
+        mOnRouterBack = action;
+    }
+
     /** Sends to a router; returns false if there is no link. */
     boolean sendToRouter(VmId router, Envelope message) {
         Link link = mRouters.get(router);
@@ -140,6 +149,8 @@
             mTarget.put(peerOf(link), link);
             if (link.peer().getRole().equals(CONTROL)) {
                 mOnControlUp.accept(peerOf(link));
+            } else if (mLost.remove(peerOf(link))) {
+                mOnRouterBack.accept(peerOf(link));
             }
         }
 
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -53,7 +53,6 @@
  */
 public final class RouterProcess implements RequestServices, CallerHandler.RequestSink {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(200);
     private static final Duration VIEW_TICK = Duration.ofMillis(100);
     private static final Duration SECOND = Duration.ofSeconds(1);
     // In cost units; stands for a customer's mean until its first request has ended.
@@ -70,7 +69,7 @@
     private final AdminServer mAdmin;
     private final BackendClient mClient;
     private final ClaimClient mClaims;
-    private final ServiceLedger mLedger;
+    private final ServiceExchange mExchange;
     private final OwnerAdmission mOwner;
     private final RouterAdmission<RequestRun> mRouter;
     private final AdmissionDriver mAdmission;
@@ -104,7 +103,10 @@
         long now = loop.nowNanos();
         mNetwork = new Links(hello(), loop, metrics);
         mLinks = new PeerLinks(settings, mNetwork, this::dispatch);
-        mLedger = new ServiceLedger(mSelf.toString(), EXCHANGE_INTERVAL.toNanos());
+        ServiceLedger ledger =
+                new ServiceLedger(mSelf.toString(), ServiceExchange.INTERVAL.toNanos());
+        mExchange =
+                new ServiceExchange(ledger, mLinks, loop, settings.routers().size(), DEFAULT_COST);
         mOwner = new OwnerAdmission(mSelf, domain, settings.region());
         mRouter =
                 new RouterAdmission<>(
@@ -115,7 +117,7 @@
                         new QueueLimits(
                                 settings.limits().maxQueuedPerCustomer(),
                                 settings.limits().maxQueued()),
-                        mLedger,
+                        ledger,
                         run -> run.request().idempotent());
         mAdmission = new AdmissionDriver(mRouter, mOwner, loop, metrics, this::send, this::publish);
         mMembership =
@@ -138,7 +140,7 @@
                         mSelf.vm(),
                         domain,
                         new ConfigurationFollower(now),
-                        mLedger,
+                        ledger,
                         mRouter,
                         mMembership,
                         mLinks,
@@ -167,7 +169,7 @@
                         this));
         mHttpServer.setHandler(bodyLimit);
         RouterStatus status =
-                new RouterStatus(mSelf, mConfiguration, mMembership, mRouter, mRuns, mLedger);
+                new RouterStatus(mSelf, mConfiguration, mMembership, mRouter, mRuns, ledger);
         mAdmin =
                 new AdminServer(
                         settings.listen().admin().toSocketAddress(),
@@ -199,9 +201,10 @@
         mLinks.onControlDown(mConfiguration::onControlDown);
         mLinks.onRouterLost(
                 vm -> mAdmission.runOwner(mOwner.onRouterLost(vm, mLoop.nowNanos())), mLoop);
+        mLinks.onRouterBack(mExchange::onRouterBack);
         mLinks.open();
         mLoop.scheduleRepeatedly(VIEW_TICK, this::frequentTick);
-        mLoop.scheduleRepeatedly(EXCHANGE_INTERVAL, this::exchangeTick);
+        mLoop.scheduleRepeatedly(ServiceExchange.INTERVAL, this::exchangeTick);
         mLoop.scheduleRepeatedly(SECOND, this::secondTick);
         try {
             mHttpClient.start();
@@ -228,16 +231,16 @@
 
     private void exchangeTick() {
         mAdmission.tick();
-        var totals = mLedger.nextTotals();
-        if (totals.getOrigins(0).getTotalsCount() > 0) {
-            Envelope message = Envelope.newBuilder().setServiceTotals(totals).build();
-            mLinks.linkedRouters().forEach(r -> mLinks.sendToRouter(r, message));
-        }
+        mExchange.tick(mRuns.size());
     }
 
     private void secondTick() {
         mConfiguration.tick();
         mConfiguration.configuration().ifPresent(mVersions::tick);
+        mConfiguration
+                .configuration()
+                .ifPresent(
+                        c -> c.getCustomersList().forEach(x -> mExchange.onWeight(x.getWeight())));
     }
 
     // --- Messages -------------------------------------------------------------------------------
@@ -261,7 +264,7 @@
             return;
         }
         switch (message.getPayloadCase()) {
-            case SERVICE_TOTALS -> mLedger.merge(message.getServiceTotals(), mLoop.nowNanos());
+            case SERVICE_TOTALS -> mExchange.onTotals(message.getServiceTotals());
             case CONFIGURATION_PUSH -> mConfiguration.onPush(from, message.getConfigurationPush());
             case REVISION_REPORT -> mConfiguration.onPeerRevision(message.getRevisionReport());
             case CLAIM_REPLY -> mClaims.onReply(from, message.getClaimReply());
@@ -384,6 +387,7 @@
     @Override
     public void recordCost(CallerRequest request, double cost) {
         mEstimator.record(request.customer(), routeOf(request), cost);
+        mExchange.onCost(cost);
     }
 
     private static String routeOf(CallerRequest request) {
