Call a version slower only from the next latency bucket on

The test counted requests above the bucket of the old version's 95th percentile. With nearly constant times most requests lie just below that edge, and a millisecond of a new connection lifts them over it.

Ruled out: more samples (the shift is systematic, so they make it surer); a warm-up time for a new version (late slowness would hide in it).

Change: slower means above the bucket after the percentile's, at least 19%.

Version tests green, the slow traces among them.

--- a/src/main/java/org/jacinthwharf/version/RouteVerdict.java
+++ b/src/main/java/org/jacinthwharf/version/RouteVerdict.java
@@ -16,6 +16,12 @@
     /** Excess of slow requests that makes a version bad: 25% instead of 5%. */
     private static final double SLOW_EXCESS = 0.20;
 
+    /**
+     * Slower means above the next bucket, by 19% at least. Where requests take nearly the same
+     * time, a millisecond of a new connection lifts most of them above the percentile itself.
+     */
+    private static final int SLOW_MARGIN_BUCKETS = 1;
+
     /** Fewer requests of the old version in a minute are too few to compare with. */
     private static final long ENOUGH_OLD_REQUESTS = 200;
 
@@ -86,7 +92,7 @@
     }
 
     private void sampleSlowness(Counts now, Counts old, Counts[] recent) {
-        int bucket = old.bucketOf95thPercentile();
+        int bucket = old.bucketOf95thPercentile() + SLOW_MARGIN_BUCKETS;
         double rate =
                 Math.max(
                         0.05, goodRate(old, recent, counts -> counts.above(bucket), Counts::timed));
