--- a/src/main/java/org/jacinthwharf/process/router/AdmissionDriver.java
+++ b/src/main/java/org/jacinthwharf/process/router/AdmissionDriver.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
@@ -64,6 +65,11 @@
         run(mRouter.readmit(request, now()));
     }
 
+    /** Returns whether any backend server of the pool is known. */
+    boolean hasServers(PoolId pool) {
+        return mRouter.hasServers(pool, now());
+    }
+
     /** Removes a request that waits. */
     void cancel(QueuedRequest<RequestRun> request) {
         mRouter.cancel(request);
--- a/src/main/java/org/jacinthwharf/process/router/RequestRun.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestRun.java
@@ -99,6 +99,10 @@
             // A version that never answers must show in its evidence.
             mEnding = Ending.FAILED;
         }
+        if (mQueued != null && mSlot.isEmpty()) {
+            // Still waiting; a request that was sent is not affected by a refusal.
+            onRefused(RefusalReason.DEADLINE_PASSED);
+        }
         apply(mAttempts.onDeadline(now()));
     }
 
@@ -187,7 +191,10 @@
 
     /** Ends the request without having run. */
     void onRefused(RefusalReason reason) {
-        apply(mAttempts.refuse(reason));
+        boolean noServer =
+                reason == RefusalReason.DEADLINE_PASSED
+                        && !mServices.admission().hasServers(mQueued.pool());
+        apply(mAttempts.refuse(noServer ? RefusalReason.NO_BACKEND_SERVER : reason));
     }
 
     /** Handles the recall of the slot by its owner; the request may run again elsewhere. */
--- a/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
+++ b/src/main/java/org/jacinthwharf/request/admission/DemandSender.java
@@ -111,6 +111,11 @@
         }
     }
 
+    /** Returns whether any owner offers servers of the pool, with or without free slots. */
+    boolean hasServers(PoolId pool, long nowNanos) {
+        return mOffers.nearest(pool, nowNanos).isPresent();
+    }
+
     /** Notes that a slot went back to its owner. */
     void onReturned(PoolId pool, VmId owner) {
         mOffers.onReturned(pool, owner);
--- a/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
+++ b/src/main/java/org/jacinthwharf/request/admission/RouterAdmission.java
@@ -304,6 +304,11 @@
         return actions;
     }
 
+    /** Returns whether any owner offers servers of the pool, with or without free slots. */
+    public boolean hasServers(PoolId pool, long nowNanos) {
+        return mDemand.hasServers(pool, nowNanos);
+    }
+
     /** Returns the number of waiting requests. */
     public int waiting() {
         return mQueues.waiting();
