Write event ids and route names in one place

Cause: the read-through found the event id of a stream put together by hand beside StreamEventId, the route name written in RequestRun and in RouterProcess, and an accessor of PeerLinks without a caller.

Change: StreamEventId writes the id, CallerRequest names its route, the accessor is gone. Behaviour is the same.

Conclusion: one twin less in two places.

--- a/src/main/java/org/jacinthwharf/process/router/CallerRequest.java
+++ b/src/main/java/org/jacinthwharf/process/router/CallerRequest.java
@@ -45,4 +45,9 @@
         boolean stream,
         OptionalDouble costHint,
         long deadlineMillis,
-        Optional<StreamEventId> lastEvent) {}
+        Optional<StreamEventId> lastEvent) {
+    /** Returns the name under which costs and times of the model's route are kept. */
+    String routeKey() {
+        return model + "/" + route;
+    }
+}
--- a/src/main/java/org/jacinthwharf/process/router/PeerLinks.java
+++ b/src/main/java/org/jacinthwharf/process/router/PeerLinks.java
@@ -1,6 +1,5 @@
 package org.jacinthwharf.process.router;
 
-import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -117,11 +116,6 @@
         mControl.values().forEach(l -> l.send(message));
     }
 
-    /** Returns the control members that are linked. */
-    ImmutableSet<VmId> controlMembers() {
-        return ImmutableSet.copyOf(mControl.keySet());
-    }
-
     /** Returns the first linked control member that is not in {@code tried}. */
     Optional<VmId> controlMemberExcept(Set<VmId> tried) {
         return mControl.keySet().stream().filter(m -> !tried.contains(m)).findFirst();
--- a/src/main/java/org/jacinthwharf/process/router/RequestRun.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestRun.java
@@ -24,6 +24,7 @@
 import org.jacinthwharf.request.outcome.RequestOutcome;
 import org.jacinthwharf.request.outcome.StoredAnswers;
 import org.jacinthwharf.request.outcome.StreamAssembler;
+import org.jacinthwharf.request.outcome.StreamEventId;
 import org.jacinthwharf.wire.generated.ClaimEndState;
 import org.jacinthwharf.wire.generated.ClaimReply;
 import org.jacinthwharf.wire.generated.StoredAnswer;
@@ -243,7 +244,7 @@
         mSilence =
                 Optional.of(
                         new SilenceDetector(
-                                mServices.firstByteTimes().silenceLimitNanos(routeKey()),
+                                mServices.firstByteTimes().silenceLimitNanos(mRequest.routeKey()),
                                 mAttemptStartNanos));
         mOpen =
                 Optional.of(
@@ -261,10 +262,6 @@
         mServices.evidence().onStart(slot.pool(), mRequest.route());
     }
 
-    private String routeKey() {
-        return mRequest.model() + "/" + mRequest.route();
-    }
-
     private void retry(Decision.Retry retry) {
         mServices.metrics().countRetry(retry.reason());
         LOGGER.atInfo().log(
@@ -298,13 +295,15 @@
         long now = now();
         mSilence.ifPresent(s -> s.onProgress(now));
         if (first) {
-            mServices.firstByteTimes().record(routeKey(), Math.max(0, now - mAttemptStartNanos));
+            mServices
+                    .firstByteTimes()
+                    .record(mRequest.routeKey(), Math.max(0, now - mAttemptStartNanos));
         }
     }
 
     @Override
     public String eventId(long sequence) {
-        return mRequest.id() + "/" + mSlot.orElseThrow().server() + "/" + sequence;
+        return new StreamEventId(mRequest.id(), mSlot.orElseThrow().server(), sequence).toString();
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -381,19 +381,15 @@
 
     @Override
     public double estimate(CallerRequest request) {
-        return mEstimator.estimate(request.customer(), routeOf(request), request.costHint());
+        return mEstimator.estimate(request.customer(), request.routeKey(), request.costHint());
     }
 
     @Override
     public void recordCost(CallerRequest request, double cost) {
-        mEstimator.record(request.customer(), routeOf(request), cost);
+        mEstimator.record(request.customer(), request.routeKey(), cost);
         mExchange.onCost(cost);
     }
 
-    private static String routeOf(CallerRequest request) {
-        return request.model() + "/" + request.route();
-    }
-
     @Override
     public void suspect(BackendServerId server, long incarnation) {
         mMembership.onConnectionFailed(server, incarnation);
