--- /dev/null
+++ b/src/main/java/org/jacinthwharf/connection/HttpAnswer.java
@@ -0,0 +1,35 @@
+package org.jacinthwharf.connection;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * The answer of an interface of the fleet itself.
+ *
+ * <p>Immutable but for the body, which nobody changes.
+ *
+ * @param status HTTP status
+ * @param contentType media type of the body
+ * @param body body, may be empty
+ * @param location where to send the request instead, with status 307
+ */
+public record HttpAnswer(int status, String contentType, byte[] body, Optional<String> location) {
+    /** Returns an answer with a JSON body. */
+    public static HttpAnswer json(int status, String body) {
+        return new HttpAnswer(status, "application/json", utf8(body), Optional.empty());
+    }
+
+    /** Returns an answer with a text body. */
+    public static HttpAnswer text(int status, String body) {
+        return new HttpAnswer(status, "text/plain; charset=utf-8", utf8(body), Optional.empty());
+    }
+
+    /** Returns an answer that sends the caller to another process. */
+    public static HttpAnswer redirect(String location) {
+        return new HttpAnswer(307, "application/json", utf8("{}"), Optional.of(location));
+    }
+
+    private static byte[] utf8(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/connection/HttpEndpoint.java
@@ -0,0 +1,161 @@
+package org.jacinthwharf.connection;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/**
+ * Serves an interface of the fleet itself over HTTP: readiness, metrics, operators, announcements.
+ *
+ * <p>Thread-safe. Invariant: each request gets one answer; one that fails gets status 503 and a log
+ * line with the cause.
+ */
+public final class HttpEndpoint implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** A routing table with thousands of routes is smaller than this. */
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
+    /** Announcements come more often than this on connections that are kept. */
+    private static final int IDLE_SECONDS = 30;
+
+    private final EventLoopGroup mGroup;
+    private final Function<HttpCall, CompletableFuture<HttpAnswer>> mService;
+    private Channel mListener;
+
+    /**
+     * Creates an endpoint that does not listen.
+     *
+     * @param group thread that carries the connections
+     * @param service answers one request; called on that thread
+     */
+    public HttpEndpoint(
+            EventLoopGroup group, Function<HttpCall, CompletableFuture<HttpAnswer>> service) {
+        mGroup = group;
+        mService = service;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IOException if the address cannot be bound
+     */
+    public void listen(InetSocketAddress address) throws IOException {
+        var bound =
+                new ServerBootstrap()
+                        .group(mGroup)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new Pipeline())
+                        .bind(address)
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address, bound.cause());
+        }
+        mListener = bound.channel();
+    }
+
+    /** Stops to listen; open connections close when the group does. */
+    @Override
+    public void close() {
+        if (mListener != null) {
+            mListener.close();
+        }
+    }
+
+    private final class Pipeline extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS, TimeUnit.SECONDS))
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpServerKeepAliveHandler())
+                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new Calls());
+        }
+    }
+
+    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (request.decoderResult().isFailure()) {
+                write(context, HttpAnswer.text(400, "malformed request\n"));
+                return;
+            }
+            String uri = request.uri();
+            int query = uri.indexOf('?');
+            HttpCall call =
+                    new HttpCall(
+                            request.method().name(),
+                            query < 0 ? uri : uri.substring(0, query),
+                            ByteBufUtil.getBytes(request.content()));
+            mService.apply(call)
+                    .whenComplete(
+                            (answer, failure) ->
+                                    context.executor()
+                                            .execute(() -> end(context, call, answer, failure)));
+        }
+
+        private void end(
+                ChannelHandlerContext context,
+                HttpCall call,
+                HttpAnswer answer,
+                Throwable failure) {
+            if (failure != null) {
+                LOGGER.atWarning().withCause(failure).log(
+                        "event=call_failed method=%s path=%s", call.method(), call.path());
+            }
+            write(context, failure == null ? answer : HttpAnswer.text(503, "failed\n"));
+        }
+
+        private void write(ChannelHandlerContext context, HttpAnswer answer) {
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.valueOf(answer.status()),
+                            Unpooled.wrappedBuffer(answer.body()));
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, answer.contentType())
+                    .set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+            answer.location().ifPresent(l -> response.headers().set(HttpHeaderNames.LOCATION, l));
+            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            context.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOGGER.atFine().log("event=call_connection_failed cause='%s'", cause);
+            context.close();
+        }
+    }
+}
--- a/src/main/java/org/jacinthwharf/connection/Links.java
+++ b/src/main/java/org/jacinthwharf/connection/Links.java
@@ -22,8 +22,11 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.wire.generated.Envelope;
@@ -54,14 +57,36 @@
     private final EventLoop mLoop;
     private final FleetMetrics mMetrics;
     private final EventLoopGroup mGroup;
+    private final boolean mOwnsGroup;
+    private final Set<Channel> mChannels = ConcurrentHashMap.newKeySet();
     private volatile boolean mClosed;
 
-    /** Creates the links of the process that {@code self} describes. */
+    /** Creates the links of the process that {@code self} describes, on a thread of their own. */
     public Links(Hello self, EventLoop loop, FleetMetrics metrics) {
+        this(
+                self,
+                loop,
+                metrics,
+                new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()),
+                true);
+    }
+
+    /** Creates links that the thread of {@code group} carries; the caller closes the group. */
+    public Links(Hello self, EventLoop loop, FleetMetrics metrics, EventLoopGroup group) {
+        this(self, loop, metrics, group, false);
+    }
+
+    private Links(
+            Hello self,
+            EventLoop loop,
+            FleetMetrics metrics,
+            EventLoopGroup group,
+            boolean ownsGroup) {
         mSelf = self;
         mLoop = loop;
         mMetrics = metrics;
-        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mGroup = group;
+        mOwnsGroup = ownsGroup;
     }
 
     /**
@@ -94,7 +119,16 @@
 
     /** Keeps a link to {@code address} open, opening it anew whenever it closes, until close. */
     public void keepOpen(InetSocketAddress address, LinkListener listener) {
-        if (mClosed) {
+        keepOpen(address, listener, () -> true);
+    }
+
+    /**
+     * Keeps a link to {@code address} open while it is wanted.
+     *
+     * @param wanted asked before each attempt to open the link
+     */
+    public void keepOpen(InetSocketAddress address, LinkListener listener, BooleanSupplier wanted) {
+        if (mClosed || !wanted.getAsBoolean()) {
             return;
         }
         ChannelFuture connecting =
@@ -112,14 +146,15 @@
                 .addListener(
                         f -> {
                             LOGGER.atFine().log("event=link_closed address=%s", address);
-                            reconnectLater(address, listener);
+                            reconnectLater(address, listener, wanted);
                         });
     }
 
-    private void reconnectLater(InetSocketAddress address, LinkListener listener) {
+    private void reconnectLater(
+            InetSocketAddress address, LinkListener listener, BooleanSupplier wanted) {
         if (!mClosed && !mGroup.isShuttingDown()) {
             mGroup.schedule(
-                    () -> keepOpen(address, listener),
+                    () -> keepOpen(address, listener, wanted),
                     RECONNECT_DELAY.toMillis(),
                     TimeUnit.MILLISECONDS);
         }
@@ -129,7 +164,10 @@
     @Override
     public void close() {
         mClosed = true;
-        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        mChannels.forEach(Channel::close);
+        if (mOwnsGroup) {
+            mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
     }
 
     private final class Pipeline extends ChannelInitializer<SocketChannel> {
@@ -146,6 +184,8 @@
     }
 
     private void initialize(Channel channel, LinkListener listener) {
+        mChannels.add(channel);
+        channel.closeFuture().addListener(f -> mChannels.remove(channel));
         channel.pipeline()
                 .addLast(
                         new IdleStateHandler(
--- a/src/main/java/org/jacinthwharf/process/assembly/ControlAssembly.java
+++ b/src/main/java/org/jacinthwharf/process/assembly/ControlAssembly.java
@@ -21,6 +21,7 @@
 import org.jacinthwharf.process.control.MemberLinks;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.settings.ControlSettings;
+import org.jacinthwharf.process.settings.NodeSettings;
 import org.jacinthwharf.wire.generated.Envelope;
 
 /** Makes the parts of a control process. Stateless and thread-safe. */
@@ -40,12 +41,42 @@
     public static ControlProcess.Parts parts(
             ControlSettings settings, RaftStorage storage, boolean mayFound, EventLoop loop) {
         return new ControlProcess.Parts(
-                (machine, l, members) -> open(settings, storage, mayFound, machine, l, members),
+                (machine, l, members) ->
+                        open(
+                                new RaftSettings(
+                                        VmId.of(settings.vmId()), configured(settings), mayFound),
+                                storage,
+                                machine,
+                                l,
+                                members),
                 new ReplicatedClaims(),
                 new SupervisedMoves(loop),
                 new DomainWitness());
     }
 
+    /** Returns the parts for a member that found its group through seeds. */
+    public static ControlProcess.Parts parts(
+            NodeSettings settings, RaftStorage storage, EventLoop loop) {
+        RaftSettings raft =
+                new RaftSettings(
+                        settings.self(),
+                        ImmutableSortedSet.copyOf(settings.seedVms()),
+                        settings.mayFound());
+        return new ControlProcess.Parts(
+                (machine, l, members) -> open(raft, storage, machine, l, members),
+                new ReplicatedClaims(),
+                new SupervisedMoves(loop),
+                new DomainWitness());
+    }
+
+    /** Opens the data folder of a member that finds its group through seeds. */
+    public static StorageOpening openStorage(NodeSettings settings) {
+        return RaftStorage.open(
+                Path.of(settings.dataFolder()),
+                settings.self(),
+                () -> UUID.randomUUID().toString());
+    }
+
     /** Opens the data folder of a member. */
     public static StorageOpening openStorage(ControlSettings settings) {
         return RaftStorage.open(
@@ -54,18 +85,18 @@
                 () -> UUID.randomUUID().toString());
     }
 
+    private static ImmutableSortedSet<VmId> configured(ControlSettings settings) {
+        return settings.controlMembers().stream()
+                .map(m -> VmId.of(m.vmId()))
+                .collect(ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+    }
+
     private static LogFactory.OpenLog open(
-            ControlSettings settings,
+            RaftSettings settings,
             RaftStorage storage,
-            boolean mayFound,
             StateMachine machine,
             EventLoop loop,
             MemberLinks members) {
-        ImmutableSortedSet<VmId> configured =
-                settings.controlMembers().stream()
-                        .map(m -> VmId.of(m.vmId()))
-                        .collect(
-                                ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
         ExecutorService disk =
                 Executors.newSingleThreadExecutor(
                         task -> {
@@ -75,7 +106,7 @@
                         });
         RaftNode node =
                 new RaftNode(
-                        new RaftSettings(VmId.of(settings.vmId()), configured, mayFound),
+                        settings,
                         storage,
                         machine,
                         loop,
--- a/src/main/java/org/jacinthwharf/process/consensus/MembershipChanges.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/MembershipChanges.java
@@ -1,6 +1,7 @@
 package org.jacinthwharf.process.consensus;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -15,9 +16,14 @@
  * <p>Not thread-safe. Invariants: one change at a time, each proposed only after the previous one
  * and an entry of the leader's own term are committed, so that any two majorities in force at once
  * share a member; a learner is considered only when it has synced everything that is committed; an
- * identity that is still heard from is never replaced; only configured VMs are added.
+ * identity that is still heard from is never replaced. A member that is silent for {@link
+ * RaftTimings#REMOVAL} is removed while more than {@link #LEAST_MEMBERS} are left, so that the
+ * successor of a lost VM takes its place; one that was only frozen or cut off joins again.
  */
 final class MembershipChanges {
+    /** With fewer members, the loss of one more would stop the group. */
+    static final int LEAST_MEMBERS = 3;
+
     private final RaftSettings mSettings;
     private final RaftLog mLog;
 
@@ -26,11 +32,10 @@
         mLog = log;
     }
 
-    /** Takes a learner if its VM is configured and its identity is not a member already. */
+    /** Takes a learner if its identity is not a member already. */
     void join(Leadership leadership, MemberId learner, long nowNanos) {
         boolean allowed =
                 VmId.parse(learner.getVmId())
-                        .filter(mSettings.configured()::contains)
                         .filter(vm -> !vm.equals(mSettings.self()))
                         .isPresent();
         boolean silentOrNew =
@@ -53,10 +58,22 @@
                 .sorted((a, b) -> a.getVmId().compareTo(b.getVmId()))
                 .findFirst()
                 .map(m -> changeFor(m))
+                .or(() -> withoutSilentMember(leadership, nowNanos))
                 .filter(set -> leadership.isMajorityAlive(set, nowNanos))
                 .map(MembershipChanges::entry);
     }
 
+    private Optional<List<MemberId>> withoutSilentMember(Leadership leadership, long nowNanos) {
+        if (mLog.members().size() <= LEAST_MEMBERS) {
+            return Optional.empty();
+        }
+        return mLog.members().stream()
+                .filter(m -> leadership.progress(m) != null)
+                .filter(m -> leadership.progress(m).silentNanos(nowNanos) > RaftTimings.REMOVAL)
+                .max(Comparator.comparingLong(m -> leadership.progress(m).silentNanos(nowNanos)))
+                .map(gone -> mLog.members().stream().filter(m -> !m.equals(gone)).toList());
+    }
+
     /** Returns the entry that sets the members. */
     static LogEntry.Builder entry(List<MemberId> members) {
         return LogEntry.newBuilder().setMembers(MemberSet.newBuilder().addAllMembers(members));
--- a/src/main/java/org/jacinthwharf/process/consensus/Progress.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/Progress.java
@@ -38,6 +38,11 @@
         return nowNanos - mHeardNanos < RaftTimings.ELECTION_TIMEOUT;
     }
 
+    /** Returns the time since the peer was heard from. */
+    long silentNanos(long nowNanos) {
+        return nowNanos - mHeardNanos;
+    }
+
     boolean maySendEntries() {
         return mNext - mMatch <= MAX_UNACKNOWLEDGED;
     }
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftCore.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftCore.java
@@ -172,13 +172,20 @@
                 RaftSnapshotReply m = envelope.getRaftSnapshotReply();
                 onReply(m.getTerm(), m.getMember(), l -> l.acknowledged(m, nowNanos), nowNanos);
             }
-            case RAFT_JOIN ->
-                    mLeadership.ifPresent(
-                            l -> mChanges.join(l, envelope.getRaftJoin().getMember(), nowNanos));
+            case RAFT_JOIN -> onJoin(envelope.getRaftJoin(), nowNanos);
             default -> {}
         }
     }
 
+    /** Takes a wish to join; a member that does not lead passes it on, once. */
+    private void onJoin(RaftJoin join, long nowNanos) {
+        if (mLeadership.isPresent()) {
+            mChanges.join(mLeadership.get(), join.getMember(), nowNanos);
+        } else if (!join.getPassedOn()) {
+            mLeader.ifPresent(l -> mOut.send(l, join.toBuilder().setPassedOn(true).build()));
+        }
+    }
+
     private void tickAsLeader(Leadership leadership, long nowNanos) {
         stepDownIfCutOff(nowNanos);
         if (!isLeader()) {
@@ -272,6 +279,10 @@
                 mLeaderHeardNanos
                         .filter(t -> nowNanos - t < RaftTimings.ELECTION_TIMEOUT)
                         .isPresent();
+        if (isLeader() && !mLog.members().contains(r.getCandidate())) {
+            // The candidate was removed while it could not hear of it.
+            mChanges.join(mLeadership.get(), r.getCandidate(), nowNanos);
+        }
         if (isLeader() || leaderAlive) {
             // A member that was cut off must not disturb a group that has a leader.
             return;
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftSettings.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftSettings.java
@@ -12,11 +12,10 @@
 /**
  * What a member knows of its group before it reads its log.
  *
- * <p>Immutable. Invariant: {@code self} is one of {@code configured}.
+ * <p>Immutable.
  *
  * @param self VM that the member runs on
- * @param configured VMs that may belong to the group; the first members, and the only VMs that a
- *     leader adds later
+ * @param configured VMs of the first members; at a later start, some VMs that may be members
  * @param mayFound whether this member may found a group if every configured member is empty; if
  *     false, an empty member only joins an existing group
  */
@@ -24,10 +23,10 @@
     /**
      * Creates settings.
      *
-     * @throws IllegalArgumentException if {@code self} is not configured
+     * @throws IllegalArgumentException if no VM is configured
      */
     public RaftSettings {
-        checkArgument(configured.contains(self), "%s is not one of %s", self, configured);
+        checkArgument(!configured.isEmpty(), "%s knows no VM of a member", self);
     }
 
     /** Returns the only VM whose member may found the group. */
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
@@ -14,6 +14,9 @@
     /** Interval at which a member outside the group asks to join. */
     static final long JOIN_INTERVAL = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** A member that is silent for this long is taken for lost; a VM restarts within it. */
+    static final long REMOVAL = TimeUnit.MILLISECONDS.toNanos(4_000);
+
     /** A snapshot that was not acknowledged for this long is sent again. */
     static final long SNAPSHOT_RESEND = TimeUnit.MILLISECONDS.toNanos(2_000);
 
--- a/src/main/java/org/jacinthwharf/process/control/ChangeRules.java
+++ b/src/main/java/org/jacinthwharf/process/control/ChangeRules.java
@@ -1,9 +1,12 @@
 package org.jacinthwharf.process.control;
 
+import java.util.Optional;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.id.FailureDomainId;
 import org.jacinthwharf.id.ModelId;
 import org.jacinthwharf.id.VersionId;
+import org.jacinthwharf.request.dispatch.RoutingTableCheck;
+import org.jacinthwharf.version.VersionSplit;
 import org.jacinthwharf.wire.generated.Command;
 import org.jacinthwharf.wire.generated.ConfigurationDelta;
 import org.jacinthwharf.wire.generated.Customer;
@@ -11,6 +14,8 @@
 import org.jacinthwharf.wire.generated.Model;
 import org.jacinthwharf.wire.generated.MovePhase;
 import org.jacinthwharf.wire.generated.MoveStep;
+import org.jacinthwharf.wire.generated.RoutingTable;
+import org.jacinthwharf.wire.generated.Service;
 import org.jacinthwharf.wire.generated.VersionMove;
 
 /**
@@ -49,12 +54,40 @@
             case PUT_FAILURE_DOMAIN -> putFailureDomain(command.getPutFailureDomain());
             case PUT_MODEL -> putModel(command.getPutModel());
             case REMOVE_MODEL -> removeModel(command.getRemoveModel());
+            case REPLACE_ROUTING -> replaceRouting(command.getReplaceRouting());
             case START_MOVE -> startMove(command);
             case MOVE_STEP -> moveStep(command.getMoveStep(), command.getNowMillis());
             default -> refused("the command has no change");
         };
     }
 
+    /**
+     * Replaces the routing table by one with a higher number. One with a lower or equal number was
+     * overtaken, or arrived before; it is accepted and changes nothing.
+     */
+    private Decision replaceRouting(RoutingTable table) {
+        Optional<String> problem = RoutingTableCheck.problem(table);
+        if (problem.isPresent()) {
+            return refused("%s", problem.get());
+        }
+        if (mState.routing().filter(r -> r.getNumber() >= table.getNumber()).isPresent()) {
+            return new Decision.NoChange();
+        }
+        ConfigurationDelta.Builder delta = delta().setRouting(table);
+        for (Service s : table.getServicesList()) {
+            if (ModelId.parse(s.getName()).isEmpty()) {
+                return refused("malformed service name '%s'", s.getName());
+            }
+            if (mState.model(s.getName()) == null) {
+                delta.addModels(
+                        Model.newBuilder()
+                                .setId(s.getName())
+                                .setCurrentVersion(VersionSplit.VERSION_BEFORE_MOVES));
+            }
+        }
+        return change(delta);
+    }
+
     private Decision putCustomer(Customer customer) {
         if (CustomerId.parse(customer.getId()).isEmpty()) {
             return refused("malformed customer id '%s'", customer.getId());
--- a/src/main/java/org/jacinthwharf/process/control/ConfigurationState.java
+++ b/src/main/java/org/jacinthwharf/process/control/ConfigurationState.java
@@ -1,11 +1,13 @@
 package org.jacinthwharf.process.control;
 
+import java.util.Optional;
 import java.util.TreeMap;
 import org.jacinthwharf.wire.generated.Configuration;
 import org.jacinthwharf.wire.generated.ConfigurationDelta;
 import org.jacinthwharf.wire.generated.Customer;
 import org.jacinthwharf.wire.generated.FailureDomain;
 import org.jacinthwharf.wire.generated.Model;
+import org.jacinthwharf.wire.generated.RoutingTable;
 
 /**
  * A configuration that changes by deltas, on control members and on routers.
@@ -17,6 +19,7 @@
     private final TreeMap<String, Customer> mCustomers = new TreeMap<>();
     private final TreeMap<String, FailureDomain> mFailureDomains = new TreeMap<>();
     private final TreeMap<String, Model> mModels = new TreeMap<>();
+    private Optional<RoutingTable> mRouting = Optional.empty();
     private long mRevision;
 
     long revision() {
@@ -27,6 +30,10 @@
         return mCustomers.get(id);
     }
 
+    Optional<RoutingTable> routing() {
+        return mRouting;
+    }
+
     FailureDomain failureDomain(String id) {
         return mFailureDomains.get(id);
     }
@@ -42,6 +49,9 @@
         delta.getFailureDomainsList().forEach(f -> mFailureDomains.put(f.getId(), f));
         delta.getModelsList().forEach(m -> mModels.put(m.getId(), m));
         delta.getRemovedModelsList().forEach(mModels::remove);
+        if (delta.hasRouting()) {
+            mRouting = Optional.of(delta.getRouting());
+        }
         mRevision = revision;
     }
 
@@ -53,16 +63,19 @@
         whole.getCustomersList().forEach(c -> mCustomers.put(c.getId(), c));
         whole.getFailureDomainsList().forEach(f -> mFailureDomains.put(f.getId(), f));
         whole.getModelsList().forEach(m -> mModels.put(m.getId(), m));
+        mRouting = whole.hasRouting() ? Optional.of(whole.getRouting()) : Optional.empty();
         mRevision = whole.getRevision();
     }
 
     /** Returns the whole configuration; costs a copy of all entries. */
     Configuration toMessage() {
-        return Configuration.newBuilder()
-                .setRevision(mRevision)
-                .addAllCustomers(mCustomers.values())
-                .addAllFailureDomains(mFailureDomains.values())
-                .addAllModels(mModels.values())
-                .build();
+        Configuration.Builder whole =
+                Configuration.newBuilder()
+                        .setRevision(mRevision)
+                        .addAllCustomers(mCustomers.values())
+                        .addAllFailureDomains(mFailureDomains.values())
+                        .addAllModels(mModels.values());
+        mRouting.ifPresent(whole::setRouting);
+        return whole.build();
     }
 }
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
@@ -0,0 +1,190 @@
+package org.jacinthwharf.process.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.process.metrics.RefusalReason;
+import org.jacinthwharf.request.dispatch.DispatchRequest;
+import org.jacinthwharf.request.dispatch.FleetRetryBudget;
+import org.jacinthwharf.request.dispatch.RouteTable;
+import org.jacinthwharf.wire.generated.KeyHolder;
+import org.jacinthwharf.wire.generated.Route;
+import org.jacinthwharf.wire.generated.ServiceShare;
+
+/**
+ * Turns requests of callers into calls: route, access key, service, times.
+ *
+ * <p>Used on the event loop only. Invariant: a request that no configuration in force allows is
+ * answered here and reaches no server.
+ */
+final class CallIntake implements CallerConnection.RequestSink {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final CustomerId ANONYMOUS = CustomerId.of("anonymous");
+
+    /** Callers without configuration in force may find another gateway, or this one, after it. */
+    private static final long NOT_READY_RETRY_MILLIS = 500;
+
+    /** Part of the response-time objective that a request may wait for a place. */
+    private static final double WAIT_PART = 0.6;
+
+    private static final long SHORTEST_WAIT_MILLIS = 100;
+
+    private static final CallerConnection.CallerLeft ANSWERED =
+            new CallerConnection.CallerLeft() {
+                @Override
+                public void onCallerGone() {}
+
+                @Override
+                public void onWritable(boolean writable) {}
+            };
+
+    private final GatewayConfiguration mConfiguration;
+    private final FleetRetryBudget mBudget;
+    private final RandomGenerator mRandom;
+    private final GatewayProcess mProcess;
+
+    CallIntake(
+            GatewayConfiguration configuration,
+            FleetRetryBudget budget,
+            RandomGenerator random,
+            GatewayProcess process) {
+        mConfiguration = configuration;
+        mBudget = budget;
+        mRandom = random;
+        mProcess = process;
+    }
+
+    @Override
+    public CallerConnection.CallerLeft onRequest(FullHttpRequest request, CallerConnection caller) {
+        EdgeDialect.CallerHead head = mProcess.dialect().readCaller(request.headers());
+        Optional<RouteTable> routes = mConfiguration.routes();
+        if (routes.isEmpty()) {
+            return refuse(request, caller, head, RefusalReason.NOT_READY, NOT_READY_RETRY_MILLIS);
+        }
+        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        Optional<Route> route = routes.get().find(host, path(request.uri()));
+        if (route.isEmpty()) {
+            return refuse(request, caller, head, RefusalReason.UNKNOWN_PATH, 0);
+        }
+        Optional<KeyHolder> holder = head.accessKey().flatMap(routes.get()::holderOf);
+        boolean needsKey = routes.get().needsKey(route.get());
+        if (needsKey && holder.isEmpty()) {
+            return refuse(request, caller, head, RefusalReason.UNKNOWN_ACCESS_KEY, 0);
+        }
+        ForwardedCall call =
+                newCall(request, caller, head, route.get(), needsKey ? holder : Optional.empty());
+        mProcess.add(call);
+        return call;
+    }
+
+    private ForwardedCall newCall(
+            FullHttpRequest request,
+            CallerConnection caller,
+            EdgeDialect.CallerHead head,
+            Route route,
+            Optional<KeyHolder> holder) {
+        long now = mProcess.loop().nowNanos();
+        long patience =
+                Math.min(head.patienceMillis().orElse(Long.MAX_VALUE), route.getTimeoutMillis());
+        long deadline = now + TimeUnit.MILLISECONDS.toNanos(patience);
+        double objective = route.getObjectiveMillis() > 0 ? route.getObjectiveMillis() : patience;
+        long wait = (long) Math.max(SHORTEST_WAIT_MILLIS, WAIT_PART * objective);
+        long startBy = Math.min(deadline, now + TimeUnit.MILLISECONDS.toNanos(wait));
+        String service = service(route);
+        mBudget.onRequest(service, now);
+        DispatchRequest dispatch =
+                new DispatchRequest(
+                        head.requestId().isEmpty() ? "unnamed" : head.requestId(),
+                        holder.map(h -> CustomerId.of(h.getCustomer())).orElse(ANONYMOUS),
+                        service,
+                        route.getName(),
+                        holder.filter(KeyHolder::hasPriority)
+                                .map(KeyHolder::getPriority)
+                                .orElse(route.getPriority()),
+                        head.prompt(),
+                        head.promptTokens(),
+                        head.outputTokens(),
+                        now,
+                        startBy);
+        return new ForwardedCall(
+                request,
+                caller,
+                route,
+                dispatch,
+                head,
+                holder.map(KeyHolder::getCustomer),
+                deadline,
+                mProcess);
+    }
+
+    private String service(Route route) {
+        if (route.getSharesCount() == 1) {
+            return route.getShares(0).getService();
+        }
+        int total = route.getSharesList().stream().mapToInt(ServiceShare::getWeight).sum();
+        int drawn = mRandom.nextInt(total);
+        for (ServiceShare s : route.getSharesList()) {
+            drawn -= s.getWeight();
+            if (drawn < 0) {
+                return s.getService();
+            }
+        }
+        throw new IllegalStateException("shares of " + route.getName() + " do not add up");
+    }
+
+    private static String path(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private CallerConnection.CallerLeft refuse(
+            FullHttpRequest request,
+            CallerConnection caller,
+            EdgeDialect.CallerHead head,
+            RefusalReason reason,
+            long retryMillis) {
+        LOGGER.atInfo().log(
+                "event=request_refused request=%s reason=%s host=%s path=%s",
+                head.requestId(),
+                reason.code(),
+                request.headers().get(HttpHeaderNames.HOST, ""),
+                path(request.uri()));
+        request.release();
+        mProcess.metrics().countRefusal(reason);
+        FullHttpResponse answer =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(reason.status()),
+                        Unpooled.EMPTY_BUFFER);
+        mProcess.dialect()
+                .writeRefusal(answer.headers(), head.requestId(), reason.code(), retryMillis);
+        caller.answer(answer);
+        return ANSWERED;
+    }
+
+    /** Closes connections of callers that were idle for longer than the limit in force. */
+    void sweep(Set<CallerConnection> callers, long nowNanos) {
+        long limit =
+                mConfiguration
+                        .routes()
+                        .map(r -> r.table().getLimits().getIdleTimeoutMillis())
+                        .orElse(0L);
+        if (limit > 0) {
+            long oldest = nowNanos - TimeUnit.MILLISECONDS.toNanos(limit);
+            ImmutableList.copyOf(callers).stream()
+                    .filter(c -> c.idleSinceNanos() < oldest)
+                    .forEach(CallerConnection::close);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerPipeline.java
@@ -0,0 +1,62 @@
+package org.jacinthwharf.process.gateway;
+
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.jacinthwharf.request.dispatch.RouteTable;
+import org.jacinthwharf.wire.generated.CallerLimits;
+
+/** Sets up connections of callers with the limits in force. Used on the event loop only. */
+final class CallerPipeline extends ChannelInitializer<SocketChannel> {
+    private static final int DEFAULT_HEADER_BYTES = 16 << 10;
+    private static final int DEFAULT_BODY_BYTES = 4 << 20;
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+    private final GatewayConfiguration mConfiguration;
+    private final CallerConnection.RequestSink mSink;
+    private final BooleanSupplier mDraining;
+    private final Set<CallerConnection> mCallers;
+
+    CallerPipeline(
+            GatewayConfiguration configuration,
+            CallerConnection.RequestSink sink,
+            BooleanSupplier draining,
+            Set<CallerConnection> callers) {
+        mConfiguration = configuration;
+        mSink = sink;
+        mDraining = draining;
+        mCallers = callers;
+    }
+
+    @Override
+    protected void initChannel(SocketChannel channel) {
+        CallerLimits limits =
+                mConfiguration
+                        .routes()
+                        .map(RouteTable::table)
+                        .map(t -> t.getLimits())
+                        .orElse(CallerLimits.getDefaultInstance());
+        int header = orDefault(limits.getHeaderBytes(), DEFAULT_HEADER_BYTES);
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(header)
+                        .setMaxHeaderSize(header)
+                        .setMaxChunkSize(MAX_CHUNK_BYTES);
+        CallerConnection caller = new CallerConnection(mSink, mDraining, mCallers::remove);
+        mCallers.add(caller);
+        channel.pipeline()
+                .addLast(new HttpServerCodec(config))
+                .addLast(
+                        new HttpObjectAggregator(
+                                orDefault(limits.getBodyBytes(), DEFAULT_BODY_BYTES)))
+                .addLast(caller);
+    }
+
+    private static int orDefault(long value, int byDefault) {
+        return value > 0 && value < Integer.MAX_VALUE ? (int) value : byDefault;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/gateway/DirectoryFollower.java
@@ -0,0 +1,60 @@
+package org.jacinthwharf.process.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.TimeUnit;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.process.membership.ServerDirectory;
+import org.jacinthwharf.request.dispatch.ServerBoard;
+import org.jacinthwharf.wire.generated.DirectoryAck;
+import org.jacinthwharf.wire.generated.DirectoryUpdate;
+import org.jacinthwharf.wire.generated.Envelope;
+import org.jacinthwharf.wire.generated.ServerRecord;
+
+/** Keeps the board of backend servers up to date. Used on the event loop only. */
+final class DirectoryFollower {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ServerDirectory mDirectory;
+    private final ServerBoard mBoard;
+    private final EventLoop mLoop;
+
+    DirectoryFollower(ServerDirectory directory, ServerBoard board, EventLoop loop) {
+        mDirectory = directory;
+        mBoard = board;
+        mLoop = loop;
+    }
+
+    /** Takes an update and returns its acknowledgement. */
+    Envelope onUpdate(DirectoryUpdate update) {
+        long now = mLoop.nowNanos();
+        for (ServerRecord r : update.getRecordsList()) {
+            ServerDirectory.Change change = mDirectory.merge(r, now);
+            if (change == ServerDirectory.Change.NONE) {
+                continue;
+            }
+            ServerDirectory.Entry e = mDirectory.find(r.getServer()).orElseThrow();
+            ServerRecord merged = e.record();
+            long coldUntil = now + TimeUnit.MILLISECONDS.toNanos(r.getColdLeftMillis());
+            mBoard.update(merged, e.heardNanos(), coldUntil);
+            if (change == ServerDirectory.Change.CHANGED) {
+                LOGGER.atInfo().log(
+                        "event=server_known server=%s service=%s address=%s status=%s version=%s"
+                                + " domain=%s born=%d sequence=%d cold_ms=%d age_ms=%d",
+                        merged.getServer(),
+                        merged.getService(),
+                        merged.getAddress(),
+                        merged.getStatus(),
+                        merged.getVersion(),
+                        merged.getFailureDomain(),
+                        merged.getBornMillis(),
+                        merged.getSequence(),
+                        merged.getColdLeftMillis(),
+                        r.getAgeMillis());
+            }
+        }
+        mDirectory.expire(now);
+        return Envelope.newBuilder()
+                .setDirectoryAck(DirectoryAck.newBuilder().setNumber(update.getNumber()))
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/gateway/HopHeaders.java
@@ -0,0 +1,33 @@
+package org.jacinthwharf.process.gateway;
+
+import com.google.common.base.Splitter;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/** Removes the headers that concern one connection only (RFC 9110, 7.6.1). Stateless. */
+final class HopHeaders {
+    private static final List<CharSequence> NAMES =
+            List.of(
+                    HttpHeaderNames.CONNECTION,
+                    "Keep-Alive",
+                    HttpHeaderNames.PROXY_AUTHENTICATE,
+                    HttpHeaderNames.PROXY_AUTHORIZATION,
+                    "Proxy-Connection",
+                    HttpHeaderNames.TE,
+                    HttpHeaderNames.TRAILER,
+                    HttpHeaderNames.TRANSFER_ENCODING,
+                    HttpHeaderNames.UPGRADE,
+                    HttpHeaderNames.EXPECT);
+
+    private HopHeaders() {}
+
+    static void remove(HttpHeaders headers) {
+        for (String named : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : Splitter.on(',').trimResults().omitEmptyStrings().split(named)) {
+                headers.remove(name);
+            }
+        }
+        NAMES.forEach(headers::remove);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -0,0 +1,197 @@
+package org.jacinthwharf.process.gateway;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import com.google.common.primitives.Longs;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.process.metrics.FleetMetrics;
+
+/**
+ * The connections of a gateway to all backend servers.
+ *
+ * <p>Used on the event loop only. Invariant: a connection that is handed out for a request is not
+ * handed out again before its answer has ended.
+ */
+final class ServerPool {
+    /** A connection to a VM of the same region takes a few milliseconds, or is lost. */
+    private static final int CONNECT_TIMEOUT_MS = 700;
+
+    /** Servers whose answers do not say how long they keep connections keep them for longer. */
+    private static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Part of the server's own limit after which a connection is not used any more. */
+    private static final double IDLE_PART = 0.6;
+
+    private static final int MAX_HEADER_BYTES = 64 << 10;
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+    private final EventLoopGroup mGroup;
+    private final EventLoop mLoop;
+    private final FleetMetrics mMetrics;
+    private final Map<String, ArrayDeque<ServerConnection>> mIdle = new HashMap<>();
+
+    ServerPool(EventLoopGroup group, EventLoop loop, FleetMetrics metrics) {
+        mGroup = group;
+        mLoop = loop;
+        mMetrics = metrics;
+    }
+
+    /** One request under way. Used on the event loop only. */
+    final class Exchange {
+        private final ExchangeListener mListener;
+        private ServerConnection mConnection;
+        private boolean mCancelled;
+
+        Exchange(ExchangeListener listener) {
+            mListener = listener;
+        }
+
+        /** Ends the request; the listener hears nothing any more. */
+        void cancel() {
+            mCancelled = true;
+            if (mConnection != null) {
+                mConnection.cancel(mListener);
+            }
+        }
+
+        /** Lets the answer arrive without the listener. */
+        void ignoreRest() {
+            if (mConnection != null) {
+                mConnection.ignoreRest(mListener);
+            }
+        }
+
+        void setReading(boolean reading) {
+            if (mConnection != null && !mCancelled) {
+                mConnection.setReading(reading);
+            }
+        }
+    }
+
+    /**
+     * Sends a request to a server; the request's buffer is released.
+     *
+     * @param fresh whether only a new connection will do
+     */
+    Exchange send(
+            String address, FullHttpRequest request, boolean fresh, ExchangeListener listener) {
+        Exchange exchange = new Exchange(listener);
+        ServerConnection idle = fresh ? null : takeIdle(address);
+        if (idle != null) {
+            exchange.mConnection = idle;
+            idle.send(request, listener);
+        } else {
+            connect(address, request, exchange);
+        }
+        return exchange;
+    }
+
+    private ServerConnection takeIdle(String address) {
+        ArrayDeque<ServerConnection> idle = mIdle.get(address);
+        long now = mLoop.nowNanos();
+        while (idle != null && !idle.isEmpty()) {
+            ServerConnection c = idle.removeLast();
+            if (c.isUsable(now)) {
+                return c;
+            }
+            c.close();
+        }
+        return null;
+    }
+
+    private void connect(String address, FullHttpRequest request, Exchange exchange) {
+        mMetrics.countEvent("server_connection_opened");
+        ServerConnection connection = new ServerConnection(this, address, DEFAULT_IDLE_NANOS);
+        ChannelFuture connecting =
+                new Bootstrap()
+                        .group(mGroup)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_KEEPALIVE, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                        .handler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        connection.connected(channel);
+                                        channel.pipeline().addLast(codec()).addLast(connection);
+                                    }
+                                })
+                        .connect(socketAddress(address));
+        connecting.addListener(
+                f -> {
+                    if (exchange.mCancelled) {
+                        request.release();
+                        connecting.channel().close();
+                    } else if (f.isSuccess()) {
+                        exchange.mConnection = connection;
+                        connection.send(request, exchange.mListener);
+                    } else {
+                        request.release();
+                        exchange.mListener.onEnd(
+                                ExchangeListener.Ending.NOT_CONNECTED, String.valueOf(f.cause()));
+                    }
+                });
+    }
+
+    private static HttpClientCodec codec() {
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setMaxChunkSize(MAX_CHUNK_BYTES);
+        return new HttpClientCodec(config, false, false);
+    }
+
+    private static InetSocketAddress socketAddress(String address) {
+        HostAndPort parsed = HostAndPort.fromString(address);
+        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
+    }
+
+    void idle(ServerConnection connection) {
+        mIdle.computeIfAbsent(connection.address(), a -> new ArrayDeque<>()).addLast(connection);
+    }
+
+    void closed(ServerConnection connection) {
+        ArrayDeque<ServerConnection> idle = mIdle.get(connection.address());
+        if (idle != null && idle.remove(connection) && idle.isEmpty()) {
+            mIdle.remove(connection.address());
+        }
+    }
+
+    /** Closes connections that have been idle for too long; call every second or so. */
+    void sweep() {
+        long now = mLoop.nowNanos();
+        mIdle.values().stream()
+                .flatMap(ArrayDeque::stream)
+                .filter(c -> !c.isUsable(now))
+                .toList()
+                .forEach(ServerConnection::close);
+    }
+
+    /** Returns how long a connection may be idle if the server says how long it keeps it. */
+    long idleLimitNanos(String seconds, long present) {
+        Long said = Longs.tryParse(seconds);
+        return said == null
+                ? present
+                : (long) (IDLE_PART * TimeUnit.SECONDS.toNanos(Math.min(said, 60)));
+    }
+
+    void countEvent(String name) {
+        mMetrics.countEvent(name);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/gateway/VersionRules.java
@@ -0,0 +1,89 @@
+package org.jacinthwharf.process.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.jacinthwharf.id.ModelId;
+import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.id.RequestId;
+import org.jacinthwharf.id.VersionId;
+import org.jacinthwharf.process.moves.EvidenceSink;
+import org.jacinthwharf.process.moves.VersionDriver;
+import org.jacinthwharf.request.dispatch.BackendServer;
+import org.jacinthwharf.request.dispatch.DispatchRequest;
+import org.jacinthwharf.request.dispatch.VersionGate;
+import org.jacinthwharf.version.VersionSplit;
+import org.jacinthwharf.wire.generated.Model;
+import org.jacinthwharf.wire.generated.MovePhase;
+
+/**
+ * Sends each request to the version that the moves of its service allow, and counts how versions
+ * answer.
+ *
+ * <p>Used on the event loop only. Invariant: a version that was rolled back gets nothing; the
+ * target of a move under way gets the requests that the move gives it and no others.
+ */
+final class VersionRules implements VersionGate {
+    private final Function<String, Optional<Model>> mModels;
+    private final VersionDriver mDriver;
+
+    VersionRules(Function<String, Optional<Model>> models, VersionDriver driver) {
+        mModels = models;
+        mDriver = driver;
+    }
+
+    @Override
+    public List<BackendServer> allowed(DispatchRequest request, List<BackendServer> servers) {
+        Optional<Model> model = mModels.apply(request.service());
+        if (model.isEmpty()) {
+            return servers;
+        }
+        Model m = model.get();
+        String chosen = chosen(m, request);
+        List<BackendServer> matching =
+                servers.stream().filter(s -> label(m, s.version()).equals(chosen)).toList();
+        if (!matching.isEmpty()) {
+            return matching;
+        }
+        // Replacements may come in a version that no move named.
+        String target = m.getMove().getToVersion();
+        boolean targetTaken = m.hasMove() && m.getMove().getPhase() != MovePhase.DONE;
+        return servers.stream().filter(s -> !(targetTaken && s.version().equals(target))).toList();
+    }
+
+    private String chosen(Model m, DispatchRequest request) {
+        return m.hasMove()
+                ? mDriver.choose(m, RequestId.of(request.id()), request.route()).version().value()
+                : m.getCurrentVersion();
+    }
+
+    /** Returns the version that the move counts a server under. */
+    private static String label(Model m, String version) {
+        if (m.hasMove() && version.equals(m.getMove().getToVersion())) {
+            return version;
+        }
+        boolean known = !m.getCurrentVersion().equals(VersionSplit.VERSION_BEFORE_MOVES);
+        String from = m.hasMove() ? m.getMove().getFromVersion() : m.getCurrentVersion();
+        return known && !version.equals(from) ? "other" : from;
+    }
+
+    void onSent(BackendServer server, DispatchRequest request) {
+        pool(server).ifPresent(p -> mDriver.onStart(p, request.route()));
+    }
+
+    void onEnd(BackendServer server, DispatchRequest request, Optional<Boolean> good, long millis) {
+        EvidenceSink.Ending ending =
+                good.map(g -> g ? EvidenceSink.Ending.COMPLETE : EvidenceSink.Ending.FAILED)
+                        .orElse(EvidenceSink.Ending.WITHOUT_EVIDENCE);
+        pool(server).ifPresent(p -> mDriver.onEnd(p, request.route(), ending, millis));
+    }
+
+    private Optional<PoolId> pool(BackendServer server) {
+        return mModels.apply(server.service())
+                .map(
+                        m ->
+                                PoolId.of(
+                                        ModelId.of(m.getId()),
+                                        VersionId.of(label(m, server.version()))));
+    }
+}
--- a/src/main/java/org/jacinthwharf/process/router/VersionDriver.java
+++ b/src/main/java/org/jacinthwharf/process/moves/VersionDriver.java
@@ -1,4 +1,4 @@
-package org.jacinthwharf.process.router;
+package org.jacinthwharf.process.moves;
 
 import com.google.common.math.LongMath;
 import java.math.RoundingMode;
@@ -6,11 +6,15 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jacinthwharf.id.BackendServerId;
 import org.jacinthwharf.id.ModelId;
 import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.id.VersionId;
 import org.jacinthwharf.id.VmId;
@@ -31,7 +35,7 @@
  * <p>Used on the event loop only. Invariant: counts only grow, so that a lost or repeated report
  * changes nothing. Memory is bounded by {@link #MAX_ROUTES}.
  */
-final class VersionDriver implements RequestServices.EvidenceSink {
+public final class VersionDriver implements EvidenceSink {
     /** Routes beyond this number per router are counted as one. */
     static final int MAX_ROUTES = 512;
 
@@ -44,7 +48,8 @@
     private final RouterIncarnation mSelf;
     private final EvidenceBook mOwnBook;
     private final LocalVerdict mVerdict;
-    private final PeerLinks mLinks;
+    private final Consumer<Envelope> mToControl;
+    private final Supplier<Set<VmId>> mPeers;
     private final EventLoop mLoop;
     private final Map<ModelId, VersionSplit> mSplits = new HashMap<>();
     private final Map<RouteKey, RouteCounts> mRoutes = new HashMap<>();
@@ -88,30 +93,37 @@
         }
     }
 
-    VersionDriver(
+    /**
+     * Creates a driver without evidence.
+     *
+     * @param toControl sends to all control members
+     * @param peers returns the other routers that are known to run
+     */
+    public VersionDriver(
             RouterIncarnation self,
             EvidenceBook ownBook,
             LocalVerdict verdict,
-            PeerLinks links,
+            Consumer<Envelope> toControl,
+            Supplier<Set<VmId>> peers,
             EventLoop loop) {
         mSelf = self;
         mOwnBook = ownBook;
         mVerdict = verdict;
-        mLinks = links;
+        mToControl = toControl;
+        mPeers = peers;
         mLoop = loop;
     }
 
     /** Chooses the version for a request of the model. */
-    PoolId choose(Model model, CallerRequest request) {
-        ModelId id = request.model();
+    public PoolId choose(Model model, RequestId request, String route) {
+        ModelId id = ModelId.of(model.getId());
         if (!model.hasMove()) {
             return PoolId.of(id, VersionId.of(model.getCurrentVersion()));
         }
         PoolId target = PoolId.of(id, VersionId.of(model.getMove().getToVersion()));
         PoolId current = PoolId.of(id, VersionId.of(model.getMove().getFromVersion()));
         long now = mLoop.nowNanos();
-        long recent =
-                perMinute(target, request.route(), now) + perMinute(current, request.route(), now);
+        long recent = perMinute(target, route, now) + perMinute(current, route, now);
         VersionSplit.RouteState state =
                 new VersionSplit.RouteState(
                         mVerdict.isStopped(model.getMove().getId()),
@@ -120,13 +132,13 @@
                         hasLowRateTurn(model.getMove().getId()));
         String version =
                 mSplits.computeIfAbsent(id, m -> new VersionSplit())
-                        .choose(request.id(), request.route(), model.getMove(), state);
+                        .choose(request, route, model.getMove(), state);
         return PoolId.of(id, VersionId.of(version));
     }
 
     /** One router of those that are linked sends the single requests of a canary at low rates. */
     private boolean hasLowRateTurn(String moveId) {
-        TreeSet<VmId> routers = new TreeSet<>(mLinks.linkedRouters());
+        TreeSet<VmId> routers = new TreeSet<>(mPeers.get());
         routers.add(mSelf.vm());
         return Owners.ownerOf(BackendServerId.of(moveId), routers).orElseThrow().equals(mSelf.vm());
     }
@@ -186,7 +198,7 @@
     }
 
     /** Judges moves by the own evidence and reports it; called every second. */
-    void tick(Configuration configuration) {
+    public void tick(Configuration configuration) {
         VersionEvidence.Builder report =
                 VersionEvidence.newBuilder()
                         .setRouter(mSelf.vm().value())
@@ -201,8 +213,7 @@
         mOwnBook.record(report.build(), now);
         report.addAllStops(mVerdict.onTick(configuration, now));
         if (report.getRoutesCount() > 0) {
-            mLinks.sendToAllControl(
-                    Envelope.newBuilder().setVersionEvidence(report.build()).build());
+            mToControl.accept(Envelope.newBuilder().setVersionEvidence(report.build()).build());
         }
     }
 
--- a/src/main/java/org/jacinthwharf/process/router/RequestRun.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestRun.java
@@ -11,7 +11,7 @@
 import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.process.metrics.RetryReason;
-import org.jacinthwharf.process.router.RequestServices.EvidenceSink.Ending;
+import org.jacinthwharf.process.moves.EvidenceSink.Ending;
 import org.jacinthwharf.request.admission.QueuedRequest;
 import org.jacinthwharf.request.admission.Slot;
 import org.jacinthwharf.request.outcome.AnswerMatcher;
--- a/src/main/java/org/jacinthwharf/process/router/RequestServices.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestServices.java
@@ -6,6 +6,7 @@
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
+import org.jacinthwharf.process.moves.EvidenceSink;
 
 /**
  * What a {@link RequestRun} needs from the router process.
@@ -51,23 +52,4 @@
 
     /** Forgets a request that was answered. */
     void onEnd(RequestRun run);
-
-    /** Counts attempts for the verdict on versions. */
-    interface EvidenceSink {
-        /** Counts an attempt that was sent. */
-        void onStart(PoolId pool, String route);
-
-        /** Counts the end of an attempt, {@code millis} milliseconds after it was sent. */
-        void onEnd(PoolId pool, String route, Ending ending, long millis);
-
-        /** What the end of an attempt says about the version. */
-        enum Ending {
-            COMPLETE,
-            FAILED,
-            /**
-             * The attempt was cancelled, never reached the server, or its connection was silent.
-             */
-            WITHOUT_EVIDENCE
-        }
-    }
 }
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -29,6 +29,8 @@
 import org.jacinthwharf.process.metrics.AdminServer;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.process.metrics.RefusalReason;
+import org.jacinthwharf.process.moves.EvidenceSink;
+import org.jacinthwharf.process.moves.VersionDriver;
 import org.jacinthwharf.process.settings.RouterSettings;
 import org.jacinthwharf.request.admission.CostEstimator;
 import org.jacinthwharf.request.admission.OwnerAdmission;
@@ -151,7 +153,8 @@
                         mSelf,
                         ownBook,
                         new LocalVerdict(ownBook, settings.routers().size()),
-                        mLinks,
+                        mLinks::sendToAllControl,
+                        mLinks::linkedRouters,
                         loop);
         mClaims = new ClaimClient(mLinks, loop);
         mBudget = new RetryBudget(now);
@@ -376,7 +379,8 @@
 
     @Override
     public PoolId poolFor(CallerRequest request) {
-        return mVersions.choose(mConfiguration.model(request.model()).orElseThrow(), request);
+        return mVersions.choose(
+                mConfiguration.model(request.model()).orElseThrow(), request.id(), request.route());
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeBounds.java
@@ -0,0 +1,23 @@
+package org.jacinthwharf.process.settings;
+
+/**
+ * What the fleet promises to callers, backend servers and operators; stated by whoever deploys it.
+ *
+ * <p>Immutable.
+ *
+ * @param announceMillis interval at which backend servers announce themselves
+ * @param stopGraceMillis time between the order to stop and the end of the process
+ * @param retryRatio repeats for each request, of all gateways together, in one window
+ * @param retryWindowMillis length of that window
+ * @param retrySlack repeats in one window beyond the ratio
+ * @param moveShare part of a service's requests that a version may get before it is judged
+ * @param moveStopMillis time within which a bad version gets no more requests
+ */
+public record NodeBounds(
+        long announceMillis,
+        long stopGraceMillis,
+        double retryRatio,
+        long retryWindowMillis,
+        double retrySlack,
+        double moveShare,
+        long moveStopMillis) {}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettings.java
@@ -0,0 +1,75 @@
+package org.jacinthwharf.process.settings;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.InetAddresses;
+import java.util.List;
+import java.util.Optional;
+import org.jacinthwharf.id.VmId;
+
+/**
+ * Settings of a process that finds the rest of the fleet through seeds.
+ *
+ * <p>Immutable. A VM is named by its IP address, and all VMs use the same peer port, so an id is
+ * all that is needed to reach a member.
+ *
+ * @param vmId IP address of the VM
+ * @param failureDomain failure domain of the VM
+ * @param region region of the failure domain
+ * @param listen addresses to listen on
+ * @param peerPort port for links between processes, the same on all VMs
+ * @param seeds addresses of some control members, any port; they may be out of date
+ * @param mayFound whether the process may found the control group, at the first start of all
+ * @param dataFolder folder for all files of the process; empty for a gateway
+ * @param regions region of each failure domain
+ * @param bounds what the fleet promises
+ */
+public record NodeSettings(
+        String vmId,
+        String failureDomain,
+        String region,
+        NodeListen listen,
+        int peerPort,
+        List<Endpoint> seeds,
+        boolean mayFound,
+        String dataFolder,
+        java.util.Map<String, String> regions,
+        NodeBounds bounds) {
+
+    /** Creates settings; the VM id must be an IP address. */
+    public NodeSettings {
+        com.google.common.base.Preconditions.checkArgument(
+                InetAddresses.isInetAddress(vmId), "vmId must be an IP address: '%s'", vmId);
+        seeds = ImmutableList.copyOf(seeds);
+        regions = com.google.common.collect.ImmutableMap.copyOf(regions);
+    }
+
+    /**
+     * Addresses that a process listens on.
+     *
+     * @param http callers of a gateway, operators of a control member
+     * @param ready readiness, for the load balancer
+     * @param metrics counters and histograms
+     */
+    public record NodeListen(
+            Optional<Endpoint> http, Optional<Endpoint> ready, Optional<Endpoint> metrics) {}
+
+    /** Returns the id of this VM. */
+    public VmId self() {
+        return VmId.of(vmId);
+    }
+
+    /** Returns where other processes reach this one. */
+    public Endpoint peer() {
+        return peerOf(self());
+    }
+
+    /** Returns where the process on a VM accepts links. */
+    public Endpoint peerOf(VmId vm) {
+        return new Endpoint(vm.value(), peerPort);
+    }
+
+    /** Returns the VMs of the seeds. */
+    public ImmutableList<VmId> seedVms() {
+        return seeds.stream().map(s -> VmId.of(s.ip())).collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -0,0 +1,200 @@
+package org.jacinthwharf.request.dispatch;
+
+import java.util.List;
+import org.jacinthwharf.wire.generated.ServerLoad;
+import org.jacinthwharf.wire.generated.ServerRecord;
+import org.jacinthwharf.wire.generated.ServerStatus;
+
+/**
+ * One life of a backend server as a gateway sees it: what it said, what runs there, how it answers.
+ *
+ * <p>Not thread-safe. Invariant: counts of running requests and tokens are never negative.
+ */
+public final class BackendServer {
+    /** Failures in a row after which a server is left out for a while. */
+    private static final int FAILURES_TO_EJECT = 3;
+
+    private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
+    private static final long LONGEST_EJECTION_NANOS = 8_000_000_000L;
+    private static final long SECOND_NANOS = 1_000_000_000L;
+
+    private final String mId;
+    private final long mBornMillis;
+    private final SlidingCount mSentRecently = new SlidingCount(SECOND_NANOS + 100_000_000L);
+    private ServerRecord mRecord = ServerRecord.getDefaultInstance();
+    private long mHeardNanos;
+    private long mColdUntilNanos;
+    private int mRunning;
+    private long mUnreadTokens;
+    private long mHeldTokens;
+    private ServerLoad mOthers = ServerLoad.getDefaultInstance();
+    private int mFailures;
+    private long mEjectionNanos = FIRST_EJECTION_NANOS;
+    private long mEjectedUntilNanos = Long.MIN_VALUE;
+    private PromptMemory mPrompts = new PromptMemory(0);
+    private long mCacheTokens;
+
+    BackendServer(String id, long bornMillis) {
+        mId = id;
+        mBornMillis = bornMillis;
+    }
+
+    void take(ServerRecord record, long heardNanos, long coldUntilNanos) {
+        mRecord = record;
+        mHeardNanos = heardNanos;
+        mColdUntilNanos = coldUntilNanos;
+    }
+
+    /** Returns the id that the server chose. */
+    public String id() {
+        return mId;
+    }
+
+    /** Returns when this life started, in milliseconds since the epoch; 0 if it does not say. */
+    public long bornMillis() {
+        return mBornMillis;
+    }
+
+    /** Returns the service that the server belongs to. */
+    public String service() {
+        return mRecord.getService();
+    }
+
+    /** Returns {@code "ip:port"}. */
+    public String address() {
+        return mRecord.getAddress();
+    }
+
+    /** Returns the failure domain that the server is in. */
+    public String failureDomain() {
+        return mRecord.getFailureDomain();
+    }
+
+    /** Returns the version that the server runs. */
+    public String version() {
+        return mRecord.getVersion();
+    }
+
+    /** Returns the requests that the server runs at once. */
+    public int slots() {
+        return Math.max(1, mRecord.getSlots());
+    }
+
+    /** Returns what the server last said about itself. */
+    public ServerStatus status() {
+        return mRecord.getStatus();
+    }
+
+    /** Returns when the server was last heard from. */
+    public long heardNanos() {
+        return mHeardNanos;
+    }
+
+    /** Returns whether the server is in cold start. */
+    public boolean isCold(long nowNanos) {
+        return nowNanos < mColdUntilNanos;
+    }
+
+    /** Takes note that the server said how long it stays cold. */
+    public void setCold(long untilNanos) {
+        mColdUntilNanos = untilNanos;
+    }
+
+    /** Returns the requests of this gateway that run there. */
+    public int running() {
+        return mRunning;
+    }
+
+    /** Returns the requests of all gateways that run there. */
+    int runningOfAll() {
+        return mRunning + mOthers.getRunning();
+    }
+
+    /** Returns the prompt tokens of all gateways that wait to be read there. */
+    long unreadOfAll() {
+        return mUnreadTokens + mOthers.getUnreadTokens();
+    }
+
+    /** Returns the tokens that requests of all gateways hold there. */
+    long heldOfAll() {
+        return mHeldTokens + mOthers.getHeldTokens();
+    }
+
+    void setOthers(ServerLoad others) {
+        mOthers = others;
+    }
+
+    ServerLoad ownLoad() {
+        return ServerLoad.newBuilder()
+                .setServer(mId)
+                .setBornMillis(mBornMillis)
+                .setRunning(mRunning)
+                .setUnreadTokens(mUnreadTokens)
+                .setHeldTokens(mHeldTokens)
+                .build();
+    }
+
+    void onSent(long unread, long held, long nowNanos) {
+        mRunning++;
+        mUnreadTokens += unread;
+        mHeldTokens += held;
+        mSentRecently.add(nowNanos);
+    }
+
+    void onRead(long unread) {
+        mUnreadTokens = Math.max(0, mUnreadTokens - unread);
+    }
+
+    void onEnded(long held) {
+        mRunning = Math.max(0, mRunning - 1);
+        mHeldTokens = Math.max(0, mHeldTokens - held);
+    }
+
+    /** Returns the requests that this gateway sent there in the last second. */
+    int sentRecently(long nowNanos) {
+        return mSentRecently.count(nowNanos);
+    }
+
+    /** Takes note of an answer that was not a failure. */
+    public void onSuccess() {
+        mFailures = 0;
+        mEjectionNanos = FIRST_EJECTION_NANOS;
+    }
+
+    /** Takes note of a failure; several in a row leave the server out for a growing time. */
+    public void onFailure(long nowNanos) {
+        mFailures++;
+        if (mFailures >= FAILURES_TO_EJECT && nowNanos >= mEjectedUntilNanos) {
+            mEjectedUntilNanos = nowNanos + mEjectionNanos;
+            mEjectionNanos = Math.min(LONGEST_EJECTION_NANOS, 2 * mEjectionNanos);
+        }
+    }
+
+    /** Leaves the server out at once, after a connection to it failed. */
+    public void onUnreachable(long nowNanos) {
+        mFailures = Math.max(mFailures, FAILURES_TO_EJECT - 1);
+        onFailure(nowNanos);
+    }
+
+    boolean isEjected(long nowNanos) {
+        return nowNanos < mEjectedUntilNanos;
+    }
+
+    /** Returns how many tokens of the prompt this gateway believes to be cached there. */
+    int cached(List<PromptPart> prompt) {
+        return mPrompts.cached(prompt);
+    }
+
+    void remember(List<PromptPart> prompt, long cacheTokens) {
+        if (cacheTokens != mCacheTokens) {
+            mCacheTokens = cacheTokens;
+            mPrompts = new PromptMemory(cacheTokens);
+        }
+        mPrompts.add(prompt);
+    }
+
+    @Override
+    public String toString() {
+        return mId + "@" + address();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
@@ -0,0 +1,43 @@
+package org.jacinthwharf.request.dispatch;
+
+import com.google.common.collect.ImmutableList;
+import org.jacinthwharf.id.CustomerId;
+
+/**
+ * What the choice of a backend server depends on.
+ *
+ * <p>Immutable.
+ *
+ * @param id request id, for version moves and logs
+ * @param customer who pays for the request
+ * @param service service that has to run it
+ * @param route name of the route
+ * @param priority 0 is the most urgent
+ * @param prompt parts of the prompt, empty for plain services
+ * @param promptTokens length of the prompt, 0 for plain services
+ * @param outputTokens largest length of the answer, 0 for plain services
+ * @param arrivalNanos when the request arrived
+ * @param startByNanos after this time the request must not start
+ */
+public record DispatchRequest(
+        String id,
+        CustomerId customer,
+        String service,
+        String route,
+        int priority,
+        ImmutableList<PromptPart> prompt,
+        int promptTokens,
+        int outputTokens,
+        long arrivalNanos,
+        long startByNanos) {
+
+    /** Returns the parts that other requests share: all but the last, or the only one. */
+    ImmutableList<PromptPart> sharedParts() {
+        return prompt.size() < 2 ? prompt : prompt.subList(0, prompt.size() - 1);
+    }
+
+    /** Returns the tokens that the request may hold in an engine. */
+    long tokens() {
+        return (long) promptTokens + outputTokens;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -0,0 +1,208 @@
+package org.jacinthwharf.request.dispatch;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.jacinthwharf.process.metrics.RefusalReason;
+import org.jacinthwharf.request.admission.ServiceLedger;
+import org.jacinthwharf.wire.generated.Service;
+
+/**
+ * Decides for every request of a gateway where it runs, how long it waits and when it is refused.
+ *
+ * <p>The queue stays here and not at the backend servers, since those serve in order of arrival.
+ * Invariants: a server gets no more than it has room for, as far as this gateway knows; a cold
+ * server gets at most this gateway's part of its rate in any second; a request that cannot start in
+ * time is refused as soon as that is known. Not thread-safe; does no I/O and reads no clock.
+ */
+public final class Dispatcher<R> {
+    /** Tokens generated cost the engines about twice as much as tokens read. */
+    private static final double OUTPUT_COST = 2;
+
+    /** Cost of a call of a plain service, in tokens. */
+    private static final double PLAIN_COST = 500;
+
+    /** Requests that wait for one service at most; more would only grow old here. */
+    private static final int MAX_WAITING = 2_000;
+
+    private static final long MILLI_NANOS = 1_000_000L;
+    private static final long SHORTEST_RETRY_MILLIS = 250;
+    private static final long LONGEST_RETRY_MILLIS = 3_000;
+
+    private final ServerBoard mBoard;
+    private final ServerChoice mChoice;
+    private final ColdPermits mCold;
+    private final ServiceLedger mLedger;
+    private final VersionGate mVersions;
+    private final Function<String, Optional<Service>> mServices;
+    private final RandomGenerator mRandom;
+    private final Map<String, WaitingRequests<R>> mWaiting = new HashMap<>();
+    private final DispatchHealth mHealth;
+
+    /**
+     * Creates a dispatcher without waiting requests.
+     *
+     * @param failureDomain failure domain of the gateway, preferred for sending
+     * @param services returns the service of a name
+     * @param random breaks ties and spreads the return of refused callers
+     */
+    public Dispatcher(
+            ServerBoard board,
+            String failureDomain,
+            ColdPermits cold,
+            DispatchHealth health,
+            ServiceLedger ledger,
+            VersionGate versions,
+            Function<String, Optional<Service>> services,
+            RandomGenerator random) {
+        mBoard = board;
+        mChoice = new ServerChoice(failureDomain, random);
+        mCold = cold;
+        mHealth = health;
+        mLedger = ledger;
+        mVersions = versions;
+        mServices = services;
+        mRandom = random;
+    }
+
+    /** Places, queues or refuses a request that arrived. */
+    public ImmutableList<DispatchAction<R>> submit(R call, DispatchRequest request, long nowNanos) {
+        return submit(call, request, ImmutableSet.of(), false, nowNanos);
+    }
+
+    /** Places, queues or refuses a request that ran or was refused at the excluded servers. */
+    public ImmutableList<DispatchAction<R>> resubmit(
+            R call, DispatchRequest request, Set<String> excluded, long nowNanos) {
+        return submit(call, request, excluded, true, nowNanos);
+    }
+
+    private ImmutableList<DispatchAction<R>> submit(
+            R call, DispatchRequest request, Set<String> excluded, boolean first, long nowNanos) {
+        Optional<Service> service = mServices.apply(request.service());
+        if (service.isEmpty()) {
+            return refuse(call, RefusalReason.NO_BACKEND_SERVER, SHORTEST_RETRY_MILLIS);
+        }
+        WaitingRequests<R> queue = queue(request.service());
+        if (first || queue.size() == 0) {
+            Optional<Placement> placed = place(request, service.get(), excluded, nowNanos);
+            if (placed.isPresent()) {
+                return ImmutableList.of(new DispatchAction.Place<>(call, placed.get()));
+            }
+        }
+        if (isHopeless(request, excluded)) {
+            return refuse(call, RefusalReason.NO_BACKEND_SERVER, retryMillis(1_000));
+        }
+        long wait = queue.predictedWaitNanos(request, nowNanos).orElse(0L);
+        if (!first && (wait > request.startByNanos() - nowNanos || queue.size() >= MAX_WAITING)) {
+            return refuse(
+                    call, RefusalReason.DEADLINE_UNREACHABLE, retryMillis(wait / MILLI_NANOS));
+        }
+        queue.add(new WaitingRequests.Waiting<>(request, call, excluded), first);
+        return ImmutableList.of();
+    }
+
+    /** Returns whether no server that is left could ever run the request. */
+    private boolean isHopeless(DispatchRequest request, Set<String> excluded) {
+        return mBoard.ofService(request.service()).stream()
+                .filter(mHealth::isServing)
+                .allMatch(s -> excluded.contains(s.id()));
+    }
+
+    /** Forgets a request that waits; returns whether it did. */
+    public boolean cancel(R call, String service) {
+        WaitingRequests<R> queue = mWaiting.get(service);
+        return queue != null && queue.removeCall(call);
+    }
+
+    /** Places what fits now and refuses what cannot start in time; call every few milliseconds. */
+    public ImmutableList<DispatchAction<R>> run(long nowNanos) {
+        ImmutableList.Builder<DispatchAction<R>> actions = ImmutableList.builder();
+        mWaiting.forEach((service, queue) -> run(service, queue, nowNanos, actions));
+        return actions.build();
+    }
+
+    private void run(
+            String name,
+            WaitingRequests<R> queue,
+            long nowNanos,
+            ImmutableList.Builder<DispatchAction<R>> actions) {
+        if (queue.size() == 0) {
+            return;
+        }
+        for (var late : queue.removeIf(w -> w.request().startByNanos() <= nowNanos)) {
+            long wait = queue.predictedWaitNanos(late.request(), nowNanos).orElse(0L);
+            actions.addAll(
+                    refuse(late.call(), RefusalReason.QUEUE_FULL, retryMillis(wait / MILLI_NANOS)));
+        }
+        Optional<Service> service = mServices.apply(name);
+        boolean placed = service.isPresent();
+        while (placed && queue.size() > 0) {
+            placed = false;
+            for (var head : queue.heads()) {
+                Optional<Placement> place =
+                        place(head.request(), service.get(), head.excluded(), nowNanos);
+                if (place.isPresent()) {
+                    queue.started(head, nowNanos);
+                    actions.add(new DispatchAction.Place<>(head.call(), place.get()));
+                    placed = true;
+                    break;
+                }
+            }
+        }
+    }
+
+    private Optional<Placement> place(
+            DispatchRequest request, Service service, Set<String> excluded, long nowNanos) {
+        List<BackendServer> usable = new ArrayList<>();
+        for (BackendServer s : mBoard.ofService(request.service())) {
+            if (mHealth.isUsable(s, nowNanos) && mCold.allows(s, service, nowNanos)) {
+                usable.add(s);
+            }
+        }
+        List<BackendServer> allowed = mVersions.allowed(request, usable);
+        return mChoice.choose(request, service, allowed, excluded, nowNanos)
+                .map(s -> placement(request, service, s, nowNanos));
+    }
+
+    private Placement placement(
+            DispatchRequest request, Service service, BackendServer server, long nowNanos) {
+        long unread = Math.max(0, request.promptTokens() - server.cached(request.prompt()));
+        if (service.getEngineSlots() > 0) {
+            server.remember(request.prompt(), service.getCacheTokens());
+        }
+        mLedger.charge(request.customer(), cost(request));
+        return new Placement(server, unread, request.tokens(), nowNanos, () -> {});
+    }
+
+    private static double cost(DispatchRequest request) {
+        return request.promptTokens() == 0
+                ? PLAIN_COST
+                : request.promptTokens() + OUTPUT_COST * request.outputTokens();
+    }
+
+    private WaitingRequests<R> queue(String service) {
+        return mWaiting.computeIfAbsent(service, s -> new WaitingRequests<>(mLedger));
+    }
+
+    /** Returns the requests that wait. */
+    public int waiting() {
+        return mWaiting.values().stream().mapToInt(WaitingRequests::size).sum();
+    }
+
+    // Callers that are refused together must not come back together.
+    private long retryMillis(long wait) {
+        long base = Math.max(SHORTEST_RETRY_MILLIS, Math.min(LONGEST_RETRY_MILLIS, wait));
+        return base + mRandom.nextLong(base);
+    }
+
+    private ImmutableList<DispatchAction<R>> refuse(R call, RefusalReason reason, long millis) {
+        return ImmutableList.of(new DispatchAction.Refuse<>(call, reason, millis));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Placement.java
@@ -0,0 +1,44 @@
+package org.jacinthwharf.request.dispatch;
+
+/**
+ * The place of one request at one backend server, from its sending until its end.
+ *
+ * <p>Not thread-safe. Invariant: tokens and place are given back once, however often {@link #end}
+ * is called.
+ */
+public final class Placement {
+    private final BackendServer mServer;
+    private final long mHeldTokens;
+    private final Runnable mOnEnd;
+    private long mUnreadTokens;
+    private boolean mEnded;
+
+    Placement(BackendServer server, long unread, long held, long nowNanos, Runnable onEnd) {
+        mServer = server;
+        mUnreadTokens = unread;
+        mHeldTokens = held;
+        mOnEnd = onEnd;
+        server.onSent(unread, held, nowNanos);
+    }
+
+    /** Returns the server. */
+    public BackendServer server() {
+        return mServer;
+    }
+
+    /** Takes note that the prompt was read: the first event has arrived. */
+    public void onFirstEvent() {
+        mServer.onRead(mUnreadTokens);
+        mUnreadTokens = 0;
+    }
+
+    /** Gives the place back. */
+    public void end() {
+        if (!mEnded) {
+            mEnded = true;
+            onFirstEvent();
+            mServer.onEnded(mHeldTokens);
+            mOnEnd.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/RouteTable.java
@@ -0,0 +1,85 @@
+package org.jacinthwharf.request.dispatch;
+
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.jacinthwharf.wire.generated.KeyHolder;
+import org.jacinthwharf.wire.generated.Route;
+import org.jacinthwharf.wire.generated.RoutingTable;
+import org.jacinthwharf.wire.generated.Service;
+
+/**
+ * A routing table in the form in which requests are looked up.
+ *
+ * <p>Immutable and thread-safe. Finding a route costs one lookup for each slash of the path.
+ */
+public final class RouteTable {
+    private final RoutingTable mTable;
+    private final Map<String, Map<String, Route>> mByHost = new HashMap<>();
+    private final Map<String, KeyHolder> mByKey = new HashMap<>();
+    private final ImmutableMap<String, Service> mServices;
+
+    private RouteTable(RoutingTable table) {
+        mTable = table;
+        for (Route r : table.getRoutesList()) {
+            mByHost.computeIfAbsent(Ascii.toLowerCase(r.getHost()), h -> new HashMap<>())
+                    .put(r.getPrefix(), r);
+        }
+        for (KeyHolder holder : table.getKeyHoldersList()) {
+            holder.getKeysList().forEach(k -> mByKey.put(k, holder));
+        }
+        Map<String, Service> services = new LinkedHashMap<>();
+        table.getServicesList().forEach(s -> services.put(s.getName(), s));
+        mServices = ImmutableMap.copyOf(services);
+    }
+
+    /** Returns the lookup form of a table that {@link RoutingTableCheck} accepts. */
+    public static RouteTable of(RoutingTable table) {
+        return new RouteTable(table);
+    }
+
+    /** Returns the table itself. */
+    public RoutingTable table() {
+        return mTable;
+    }
+
+    /**
+     * Returns the route of a request: of the routes of the host, the one with the longest prefix.
+     *
+     * @param host value of the {@code Host} header, with or without a port
+     * @param path path of the request without its query
+     */
+    public Optional<Route> find(String host, String path) {
+        int port = host.lastIndexOf(':');
+        String name = Ascii.toLowerCase(port < 0 ? host : host.substring(0, port));
+        Map<String, Route> prefixes = mByHost.get(name);
+        if (prefixes == null) {
+            return Optional.empty();
+        }
+        for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+            Route route = prefixes.get(path.substring(0, end + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns whether callers of the route have to show an access key. */
+    public boolean needsKey(Route route) {
+        return mTable.getKeyHoldersCount() > 0 && !route.getAnonymous();
+    }
+
+    /** Returns the customer that holds an access key. */
+    public Optional<KeyHolder> holderOf(String key) {
+        return Optional.ofNullable(mByKey.get(key));
+    }
+
+    /** Returns the services by name. */
+    public ImmutableMap<String, Service> services() {
+        return mServices;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/RoutingTableCheck.java
@@ -0,0 +1,83 @@
+package org.jacinthwharf.request.dispatch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jacinthwharf.wire.generated.KeyHolder;
+import org.jacinthwharf.wire.generated.Route;
+import org.jacinthwharf.wire.generated.RouteKind;
+import org.jacinthwharf.wire.generated.RoutingTable;
+import org.jacinthwharf.wire.generated.Service;
+import org.jacinthwharf.wire.generated.ServiceShare;
+
+/** Decides whether a routing table may come into force. Stateless and thread-safe. */
+public final class RoutingTableCheck {
+    private RoutingTableCheck() {}
+
+    /** Returns the first problem of a table, as a sentence with the offending value. */
+    public static Optional<String> problem(RoutingTable table) {
+        Set<String> services = new HashSet<>();
+        for (Service s : table.getServicesList()) {
+            if (s.getName().isEmpty() || !services.add(s.getName())) {
+                return problem("service '%s' has no name or is listed twice", s.getName());
+            }
+        }
+        Map<String, String> places = new HashMap<>();
+        for (Route r : table.getRoutesList()) {
+            Optional<String> problem = problem(r, services);
+            String other = places.put(r.getHost() + r.getPrefix(), r.getName());
+            if (problem.isPresent()) {
+                return problem;
+            }
+            if (other != null) {
+                return problem("routes '%s' and '%s' share a place", other, r.getName());
+            }
+        }
+        Map<String, String> keys = new HashMap<>();
+        for (KeyHolder holder : table.getKeyHoldersList()) {
+            for (String key : holder.getKeysList()) {
+                String other = keys.put(key, holder.getCustomer());
+                if (other != null && !other.equals(holder.getCustomer())) {
+                    return problem(
+                            "customers '%s' and '%s' share an access key",
+                            other, holder.getCustomer());
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<String> problem(Route r, Set<String> services) {
+        if (r.getHost().isEmpty() || !r.getPrefix().startsWith("/")) {
+            return problem("route '%s' has no host or no prefix", r.getName());
+        }
+        if (!r.getPrefix().endsWith("/")) {
+            return problem("the prefix of route '%s' does not end with a slash", r.getName());
+        }
+        if (r.getKind() == RouteKind.ROUTE_KIND_UNSPECIFIED
+                || r.getKind() == RouteKind.UNRECOGNIZED) {
+            return problem("route '%s' has no known kind", r.getName());
+        }
+        if (r.getTimeoutMillis() <= 0) {
+            return problem("route '%s' has a timeout of 0", r.getName());
+        }
+        long weights = 0;
+        for (ServiceShare share : r.getSharesList()) {
+            if (!services.contains(share.getService())) {
+                return problem(
+                        "route '%s' names the unknown service '%s'",
+                        r.getName(), share.getService());
+            }
+            weights += share.getWeight();
+        }
+        return weights > 0
+                ? Optional.empty()
+                : problem("the weights of route '%s' add up to 0", r.getName());
+    }
+
+    private static Optional<String> problem(String format, Object... arguments) {
+        return Optional.of(String.format(format, arguments));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerBoard.java
@@ -0,0 +1,87 @@
+package org.jacinthwharf.request.dispatch;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jacinthwharf.wire.generated.ServerLoad;
+import org.jacinthwharf.wire.generated.ServerRecord;
+import org.jacinthwharf.wire.generated.ServerStatus;
+
+/**
+ * The backend servers that a gateway knows, with what runs on each.
+ *
+ * <p>Not thread-safe. Invariant: a server is listed under the service that its newest record names.
+ */
+public final class ServerBoard {
+    private final Map<String, BackendServer> mServers = new HashMap<>();
+    private final Map<String, List<BackendServer>> mByService = new HashMap<>();
+
+    /** Takes the newest record of a server. */
+    public void update(ServerRecord record, long heardNanos, long coldUntilNanos) {
+        BackendServer server = mServers.get(record.getServer());
+        boolean reborn = server != null && server.bornMillis() != record.getBornMillis();
+        if (server == null || reborn) {
+            remove(server);
+            server = new BackendServer(record.getServer(), record.getBornMillis());
+            mServers.put(record.getServer(), server);
+            mByService.computeIfAbsent(record.getService(), s -> new ArrayList<>()).add(server);
+        } else if (!server.service().equals(record.getService())) {
+            mByService.get(server.service()).remove(server);
+            mByService.computeIfAbsent(record.getService(), s -> new ArrayList<>()).add(server);
+        }
+        server.take(record, heardNanos, coldUntilNanos);
+        if (record.getStatus() == ServerStatus.GONE && server.running() == 0) {
+            remove(server);
+        }
+    }
+
+    private void remove(BackendServer server) {
+        if (server != null && mServers.remove(server.id(), server)) {
+            mByService.get(server.service()).remove(server);
+        }
+    }
+
+    /** Forgets servers that are gone and run nothing of this gateway. */
+    public void removeGone() {
+        ImmutableList.copyOf(mServers.values()).stream()
+                .filter(s -> s.status() == ServerStatus.GONE && s.running() == 0)
+                .forEach(this::remove);
+    }
+
+    /** Returns the servers of a service, also those that must not be sent to. */
+    public List<BackendServer> ofService(String service) {
+        return mByService.getOrDefault(service, List.of());
+    }
+
+    /** Returns all servers. */
+    public ImmutableList<BackendServer> all() {
+        return ImmutableList.copyOf(mServers.values());
+    }
+
+    /** Returns a server by its id. */
+    public Optional<BackendServer> find(String id) {
+        return Optional.ofNullable(mServers.get(id));
+    }
+
+    /** Takes what the other gateways have running; servers that are not listed run nothing. */
+    public void setOthers(List<ServerLoad> loads) {
+        mServers.values().forEach(s -> s.setOthers(ServerLoad.getDefaultInstance()));
+        for (ServerLoad l : loads) {
+            BackendServer server = mServers.get(l.getServer());
+            if (server != null && server.bornMillis() == l.getBornMillis()) {
+                server.setOthers(l);
+            }
+        }
+    }
+
+    /** Returns what this gateway has running. */
+    public ImmutableList<ServerLoad> ownLoad() {
+        return mServers.values().stream()
+                .filter(s -> s.running() > 0)
+                .map(BackendServer::ownLoad)
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/VersionGate.java
@@ -0,0 +1,10 @@
+package org.jacinthwharf.request.dispatch;
+
+import java.util.List;
+
+/** Decides which of the servers of a service may run a request, by their versions. */
+@FunctionalInterface
+public interface VersionGate {
+    /** Returns the servers whose version the request may be sent to. */
+    List<BackendServer> allowed(DispatchRequest request, List<BackendServer> servers);
+}
--- /dev/null
+++ b/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
@@ -0,0 +1,123 @@
+package org.jacinthwharf.request.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.request.admission.ServiceLedger;
+
+/**
+ * Requests that wait for one service, ordered by priority, then by the service that their customer
+ * received, then by arrival.
+ *
+ * <p>Not thread-safe. Invariant: the ledger knows which customers wait. Finding the next request is
+ * linear in the customers that wait.
+ */
+final class WaitingRequests<R> {
+    private static final long RATE_WINDOW_NANOS = 1_000_000_000L;
+
+    /** One waiting request. */
+    record Waiting<R>(DispatchRequest request, R call, java.util.Set<String> excluded) {}
+
+    private record QueueKey(int priority, CustomerId customer) {}
+
+    private final ServiceLedger mLedger;
+    private final Map<QueueKey, ArrayDeque<Waiting<R>>> mQueues = new HashMap<>();
+    private final SlidingCount mStarts = new SlidingCount(RATE_WINDOW_NANOS);
+    private int mSize;
+
+    WaitingRequests(ServiceLedger ledger) {
+        mLedger = ledger;
+    }
+
+    int size() {
+        return mSize;
+    }
+
+    /** Adds a request; one that was placed before goes in front of its customer's others. */
+    void add(Waiting<R> waiting, boolean first) {
+        QueueKey key = key(waiting.request());
+        ArrayDeque<Waiting<R>> queue = mQueues.computeIfAbsent(key, k -> new ArrayDeque<>());
+        if (first) {
+            queue.addFirst(waiting);
+        } else {
+            queue.addLast(waiting);
+        }
+        mSize++;
+        mLedger.setBacklogged(key.customer(), true);
+    }
+
+    /** Returns the requests at the heads of the queues in the order in which they are served. */
+    List<Waiting<R>> heads() {
+        List<QueueKey> keys = new ArrayList<>(mQueues.keySet());
+        keys.sort(
+                Comparator.comparingInt(QueueKey::priority)
+                        .thenComparingDouble(k -> mLedger.counter(k.customer()))
+                        .thenComparing(QueueKey::customer));
+        return keys.stream().map(k -> mQueues.get(k).getFirst()).toList();
+    }
+
+    /** Removes a request that starts now. */
+    void started(Waiting<R> waiting, long nowNanos) {
+        mStarts.add(nowNanos);
+        remove(waiting);
+    }
+
+    /** Removes the request of a call; returns whether it waited. */
+    boolean removeCall(R call) {
+        Optional<Waiting<R>> found =
+                mQueues.values().stream()
+                        .flatMap(ArrayDeque::stream)
+                        .filter(w -> w.call() == call)
+                        .findFirst();
+        found.ifPresent(this::remove);
+        return found.isPresent();
+    }
+
+    /** Removes and returns the requests that satisfy a condition. */
+    List<Waiting<R>> removeIf(Predicate<Waiting<R>> condition) {
+        List<Waiting<R>> found =
+                mQueues.values().stream().flatMap(ArrayDeque::stream).filter(condition).toList();
+        found.forEach(this::remove);
+        return found;
+    }
+
+    private void remove(Waiting<R> waiting) {
+        QueueKey key = key(waiting.request());
+        ArrayDeque<Waiting<R>> queue = mQueues.get(key);
+        if (queue == null || !queue.remove(waiting)) {
+            return;
+        }
+        mSize--;
+        if (queue.isEmpty()) {
+            mQueues.remove(key);
+            boolean waits =
+                    mQueues.keySet().stream().anyMatch(k -> k.customer().equals(key.customer()));
+            mLedger.setBacklogged(key.customer(), waits);
+        }
+    }
+
+    /**
+     * Returns the time until a new request would start, in nanoseconds, from the rate of starts;
+     * nothing if too little is known.
+     */
+    Optional<Long> predictedWaitNanos(DispatchRequest request, long nowNanos) {
+        int starts = mStarts.count(nowNanos);
+        if (mSize == 0 || starts == 0) {
+            return Optional.empty();
+        }
+        long customers = mQueues.size();
+        long own = Optional.ofNullable(mQueues.get(key(request))).map(ArrayDeque::size).orElse(0);
+        long ahead = Math.min(mSize, (own + 1) * Math.max(1, customers));
+        return Optional.of(ahead * RATE_WINDOW_NANOS / starts);
+    }
+
+    private static QueueKey key(DispatchRequest r) {
+        return new QueueKey(r.priority(), r.customer());
+    }
+}
--- a/src/main/java/org/jacinthwharf/version/VersionSplit.java
+++ b/src/main/java/org/jacinthwharf/version/VersionSplit.java
@@ -16,6 +16,9 @@
  * move and its share. Not thread-safe.
  */
 public final class VersionSplit {
+    /** Stands for all versions that ran before the first move of a service. */
+    public static final String VERSION_BEFORE_MOVES = "initial";
+
     /** Below this number in the last minute, 5% are too few to judge a version by. */
     public static final long LOW_REQUESTS_PER_MINUTE = 400;
 
