--- a/src/main/java/org/jacinthwharf/process/control/LoadRelay.java
+++ b/src/main/java/org/jacinthwharf/process/control/LoadRelay.java
@@ -9,6 +9,7 @@
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.FleetLoad;
 import org.jacinthwharf.wire.generated.GatewayLoad;
+import org.jacinthwharf.wire.generated.OriginTotals;
 import org.jacinthwharf.wire.generated.ServerLoad;
 
 /**
@@ -19,10 +20,11 @@
  */
 final class LoadRelay {
     /** Load older than a few of these says little about engines that take thousands a second. */
-    private static final Duration INTERVAL = Duration.ofMillis(150);
+    private static final Duration INTERVAL = Duration.ofMillis(50);
 
     private final EventLoop mLoop;
     private final Map<Link, GatewayLoad> mGateways = new LinkedHashMap<>();
+    private final Map<String, OriginTotals> mTotals = new LinkedHashMap<>();
     private boolean mChanged;
 
     LoadRelay(EventLoop loop) {
@@ -46,6 +48,12 @@
         GatewayLoad known = mGateways.get(link);
         if (known != null && load.getSequence() > known.getSequence()) {
             mGateways.put(link, load);
+            if (load.getCustomers().getTotalsCount() > 0) {
+                mTotals.merge(
+                        load.getCustomers().getOrigin(),
+                        load.getCustomers(),
+                        (a, b) -> a.toBuilder().addAllTotals(b.getTotalsList()).build());
+            }
             mChanged = true;
         }
     }
@@ -59,6 +67,8 @@
         mGateways.values().forEach(g -> g.getServersList().forEach(s -> add(total, s)));
         FleetLoad.Builder names = FleetLoad.newBuilder();
         mGateways.keySet().forEach(l -> names.addGateways(l.peer().getVmId()));
+        names.addAllOrigins(mTotals.values());
+        mTotals.clear();
         mGateways.forEach((link, own) -> link.send(without(own, total, names)));
     }
 
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -47,6 +47,9 @@
     /** With less time than this left, no server can answer in time. */
     private static final long LEAST_TIME_MILLIS = 5;
 
+    /** A repeat that finds no place for this long has lost what the caller wanted in time. */
+    private static final long REPEAT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     private static final int MISDIRECTED = 421;
 
     private final FullHttpRequest mRequest;
@@ -239,7 +242,7 @@
     }
 
     private void onStreamPart(ByteBuf part) {
-        mPlacement.onFirstEvent();
+        mPlacement.onFirstEvent(now());
         ByteBuf events = isResumable() ? mEvents.feed(part) : part.retain();
         if (!events.isReadable()) {
             events.release();
@@ -394,7 +397,8 @@
         releaseBody();
         mEvents.dropPartialEvent();
         mWaiting = true;
-        mServices.submit(this, mDispatch, mExcluded);
+        long startBy = Math.min(mDeadlineNanos, now() + REPEAT_WAIT_NANOS);
+        mServices.submit(this, mDispatch.startingBy(startBy), mExcluded);
     }
 
     /** Takes note that no server can take the request now. */
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayConfiguration.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayConfiguration.java
@@ -12,13 +12,13 @@
 import org.jacinthwharf.process.control.ConfigurationFollower;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.request.dispatch.RouteTable;
+import org.jacinthwharf.request.dispatch.ServiceGoals;
 import org.jacinthwharf.wire.generated.Configuration;
 import org.jacinthwharf.wire.generated.ConfigurationPush;
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.FailureDomain;
 import org.jacinthwharf.wire.generated.Model;
 import org.jacinthwharf.wire.generated.RevisionReport;
-import org.jacinthwharf.wire.generated.Service;
 import org.jacinthwharf.wire.generated.Subscribe;
 
 /**
@@ -116,7 +116,7 @@
         return mRoutes;
     }
 
-    Optional<Service> service(String name) {
+    Optional<ServiceGoals> serviceGoals(String name) {
         return mRoutes.map(r -> r.services().get(name));
     }
 
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -53,7 +53,7 @@
 public final class GatewayProcess implements GatewayServices {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration CALL_TICK = Duration.ofMillis(25);
-    private static final Duration LOAD_TICK = Duration.ofMillis(150);
+    private static final Duration LOAD_TICK = Duration.ofMillis(50);
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final int ACCEPT_QUEUE = 1_024;
 
@@ -117,22 +117,25 @@
                         loop);
         mVersionRules = new VersionRules(mConfiguration::model, mVersions);
         SplittableRandom random = new SplittableRandom(mSelf.hashCode() ^ loop.nowNanos());
+        ServiceLedger ledger =
+                new ServiceLedger(
+                        mSelf.toString(), LOAD_TICK.toNanos() * LoadExchange.TICKS_PER_TOTALS);
         mDispatcher =
                 new Dispatcher<>(
                         mBoard,
                         settings.failureDomain(),
                         mCold,
                         mHealth,
-                        new ServiceLedger(mSelf.toString(), LOAD_TICK.toNanos()),
+                        ledger,
                         mVersionRules,
-                        mConfiguration::service,
+                        mConfiguration::serviceGoals,
                         random);
         mBudget =
                 new FleetRetryBudget(
                         settings.bounds().retryRatio(),
                         settings.bounds().retrySlack(),
                         millisToNanos(settings.bounds().retryWindowMillis()));
-        mLoad = new LoadExchange(mBoard, mControl, mCold, mBudget, settings.self());
+        mLoad = new LoadExchange(mBoard, mControl, mCold, mBudget, settings.self(), ledger, loop);
         mPool = new ServerPool(loop.group(), loop, metrics);
         mIntake = new CallIntake(mConfiguration, mBudget, random, this);
         mReady = new HttpEndpoint(loop.group(), this::answerReady);
--- a/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
@@ -5,13 +5,17 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.request.admission.ServiceLedger;
 import org.jacinthwharf.request.dispatch.ColdPermits;
 import org.jacinthwharf.request.dispatch.FleetRetryBudget;
 import org.jacinthwharf.request.dispatch.ServerBoard;
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.FleetLoad;
 import org.jacinthwharf.wire.generated.GatewayLoad;
+import org.jacinthwharf.wire.generated.OriginTotals;
 import org.jacinthwharf.wire.generated.ServerLoad;
+import org.jacinthwharf.wire.generated.ServiceTotals;
 
 /**
  * Tells control what runs at backend servers from here, and takes what runs there from the other
@@ -21,27 +25,37 @@
  * twice.
  */
 final class LoadExchange {
+    /** Totals move slower than load. */
+    static final int TICKS_PER_TOTALS = 4;
+
     private final ServerBoard mBoard;
     private final ControlContacts mControl;
     private final ColdPermits mCold;
     private final FleetRetryBudget mBudget;
     private final VmId mSelf;
+    private final ServiceLedger mLedger;
+    private final EventLoop mLoop;
     private final Set<VmId> mOthers = new TreeSet<>();
     private List<ServerLoad> mLastSent = List.of();
     private Optional<VmId> mLastRelay = Optional.empty();
     private long mSequence;
+    private long mTicks;
 
     LoadExchange(
             ServerBoard board,
             ControlContacts control,
             ColdPermits cold,
             FleetRetryBudget budget,
-            VmId self) {
+            VmId self,
+            ServiceLedger ledger,
+            EventLoop loop) {
         mBoard = board;
         mControl = control;
         mCold = cold;
         mBudget = budget;
         mSelf = self;
+        mLedger = ledger;
+        mLoop = loop;
     }
 
     /** Sends what changed; called several times a second. */
@@ -51,11 +65,19 @@
             return;
         }
         List<ServerLoad> load = mBoard.ownLoad();
-        if (load.equals(mLastSent) && relay.equals(mLastRelay)) {
+        OriginTotals totals =
+                ++mTicks % TICKS_PER_TOTALS == 0
+                        ? mLedger.nextTotals().getOrigins(0)
+                        : OriginTotals.getDefaultInstance();
+        if (load.equals(mLastSent) && relay.equals(mLastRelay) && totals.getTotalsCount() == 0) {
             return;
         }
         GatewayLoad message =
-                GatewayLoad.newBuilder().setSequence(++mSequence).addAllServers(load).build();
+                GatewayLoad.newBuilder()
+                        .setSequence(++mSequence)
+                        .addAllServers(load)
+                        .setCustomers(totals)
+                        .build();
         if (mControl.send(relay.get(), Envelope.newBuilder().setGatewayLoad(message).build())) {
             mLastSent = load;
             mLastRelay = relay;
@@ -70,6 +92,14 @@
         mBoard.setOthers(load.getServersList());
         mCold.setGateways(load.getGatewaysList());
         mBudget.setGateways(load.getGatewaysCount());
+        if (load.getOriginsCount() > 0) {
+            mLedger.merge(
+                    ServiceTotals.newBuilder()
+                            .setSender(member.value())
+                            .addAllOrigins(load.getOriginsList())
+                            .build(),
+                    mLoop.nowNanos());
+        }
         mOthers.clear();
         load.getGatewaysList().stream()
                 .flatMap(g -> VmId.parse(g).stream())
--- a/src/main/java/org/jacinthwharf/request/dispatch/DispatchHealth.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchHealth.java
@@ -48,8 +48,9 @@
         return s.status() == ServerStatus.SERVING && !mClosedDomains.contains(s.failureDomain());
     }
 
-    boolean isUsable(BackendServer s, long nowNanos) {
-        return isServing(s) && !s.isEjected(nowNanos) && !isSilent(s, nowNanos);
+    /** Returns whether the server takes requests and was heard from lately. */
+    boolean isHeard(BackendServer s, long nowNanos) {
+        return isServing(s) && !isSilent(s, nowNanos);
     }
 
     /** Returns whether the server stopped to announce itself. */
--- a/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
@@ -31,6 +31,21 @@
         long arrivalNanos,
         long startByNanos) {
 
+    /** Returns the request with another time by which it must start. */
+    public DispatchRequest startingBy(long nanos) {
+        return new DispatchRequest(
+                id,
+                customer,
+                service,
+                route,
+                priority,
+                prompt,
+                promptTokens,
+                outputTokens,
+                arrivalNanos,
+                nanos);
+    }
+
     /** Returns the parts that other requests share: all but the last, or the only one. */
     ImmutableList<PromptPart> sharedParts() {
         return prompt.size() < 2 ? prompt : prompt.subList(0, prompt.size() - 1);
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -12,7 +12,6 @@
 import java.util.random.RandomGenerator;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.request.admission.ServiceLedger;
-import org.jacinthwharf.wire.generated.Service;
 
 /**
  * Decides for every request of a gateway where it runs, how long it waits and when it is refused.
@@ -41,9 +40,10 @@
     private final ColdPermits mCold;
     private final ServiceLedger mLedger;
     private final VersionGate mVersions;
-    private final Function<String, Optional<Service>> mServices;
+    private final Function<String, Optional<ServiceGoals>> mServices;
     private final RandomGenerator mRandom;
     private final Map<String, WaitingRequests<R>> mWaiting = new HashMap<>();
+    private final Map<String, ReadingModel> mReading = new HashMap<>();
     private final DispatchHealth mHealth;
 
     /**
@@ -60,7 +60,7 @@
             DispatchHealth health,
             ServiceLedger ledger,
             VersionGate versions,
-            Function<String, Optional<Service>> services,
+            Function<String, Optional<ServiceGoals>> services,
             RandomGenerator random) {
         mBoard = board;
         mChoice = new ServerChoice(failureDomain, random);
@@ -85,7 +85,7 @@
 
     private ImmutableList<DispatchAction<R>> submit(
             R call, DispatchRequest request, Set<String> excluded, boolean first, long nowNanos) {
-        Optional<Service> service = mServices.apply(request.service());
+        Optional<ServiceGoals> service = mServices.apply(request.service());
         if (service.isEmpty()) {
             return refuse(call, RefusalReason.NO_BACKEND_SERVER, SHORTEST_RETRY_MILLIS);
         }
@@ -141,7 +141,7 @@
             actions.addAll(
                     refuse(late.call(), RefusalReason.QUEUE_FULL, retryMillis(wait / MILLI_NANOS)));
         }
-        Optional<Service> service = mServices.apply(name);
+        Optional<ServiceGoals> service = mServices.apply(name);
         boolean placed = service.isPresent();
         while (placed && queue.size() > 0) {
             placed = false;
@@ -159,26 +159,46 @@
     }
 
     private Optional<Placement> place(
-            DispatchRequest request, Service service, Set<String> excluded, long nowNanos) {
+            DispatchRequest request, ServiceGoals goals, Set<String> excluded, long nowNanos) {
         List<BackendServer> usable = new ArrayList<>();
+        List<BackendServer> ejected = new ArrayList<>();
         for (BackendServer s : mBoard.ofService(request.service())) {
-            if (mHealth.isUsable(s, nowNanos) && mCold.allows(s, service, nowNanos)) {
-                usable.add(s);
+            if (mHealth.isHeard(s, nowNanos) && mCold.allows(s, goals.service(), nowNanos)) {
+                (s.isEjected(nowNanos) ? ejected : usable).add(s);
             }
         }
+        // If most servers fail, the cause is hardly theirs; leaving them out would stop the
+        // service.
+        if (usable.size() < ejected.size()) {
+            usable.addAll(ejected);
+        }
         List<BackendServer> allowed = mVersions.allowed(request, usable);
-        return mChoice.choose(request, service, allowed, excluded, nowNanos)
-                .map(s -> placement(request, service, s, nowNanos));
+        return mChoice.choose(request, goals, reading(request.service()), allowed, excluded)
+                .map(s -> placement(request, goals, s, nowNanos));
     }
 
     private Placement placement(
-            DispatchRequest request, Service service, BackendServer server, long nowNanos) {
+            DispatchRequest request, ServiceGoals goals, BackendServer server, long nowNanos) {
         long unread = Math.max(0, request.promptTokens() - server.cached(request.prompt()));
-        if (service.getEngineSlots() > 0) {
-            server.remember(request.prompt(), service.getCacheTokens());
-        }
         mLedger.charge(request.customer(), cost(request));
-        return new Placement(server, unread, request.tokens(), nowNanos, () -> {});
+        if (!goals.isEngine()) {
+            return new Placement(server, 0, 0, nowNanos, n -> {});
+        }
+        server.remember(request.prompt(), goals.service().getCacheTokens());
+        double ahead = server.unreadOfAll() + unread;
+        ReadingModel reading = reading(request.service());
+        return new Placement(
+                server,
+                unread,
+                request.tokens(),
+                nowNanos,
+                firstNanos ->
+                        reading.onFirstEvent(
+                                ahead, (firstNanos - nowNanos) / (double) MILLI_NANOS));
+    }
+
+    private ReadingModel reading(String service) {
+        return mReading.computeIfAbsent(service, s -> new ReadingModel());
     }
 
     private static double cost(DispatchRequest request) {
--- a/src/main/java/org/jacinthwharf/request/dispatch/Placement.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Placement.java
@@ -1,5 +1,7 @@
 package org.jacinthwharf.request.dispatch;
 
+import java.util.function.LongConsumer;
+
 /**
  * The place of one request at one backend server, from its sending until its end.
  *
@@ -9,15 +11,21 @@
 public final class Placement {
     private final BackendServer mServer;
     private final long mHeldTokens;
-    private final Runnable mOnEnd;
+    private final LongConsumer mOnFirstEvent;
     private long mUnreadTokens;
+    private boolean mFirstSeen;
     private boolean mEnded;
 
-    Placement(BackendServer server, long unread, long held, long nowNanos, Runnable onEnd) {
+    Placement(
+            BackendServer server,
+            long unread,
+            long held,
+            long nowNanos,
+            LongConsumer onFirstEvent) {
         mServer = server;
         mUnreadTokens = unread;
         mHeldTokens = held;
-        mOnEnd = onEnd;
+        mOnFirstEvent = onFirstEvent;
         server.onSent(unread, held, nowNanos);
     }
 
@@ -27,7 +35,15 @@
     }
 
     /** Takes note that the prompt was read: the first event has arrived. */
-    public void onFirstEvent() {
+    public void onFirstEvent(long nowNanos) {
+        if (!mFirstSeen) {
+            mFirstSeen = true;
+            read();
+            mOnFirstEvent.accept(nowNanos);
+        }
+    }
+
+    private void read() {
         mServer.onRead(mUnreadTokens);
         mUnreadTokens = 0;
     }
@@ -36,9 +52,8 @@
     public void end() {
         if (!mEnded) {
             mEnded = true;
-            onFirstEvent();
+            read();
             mServer.onEnded(mHeldTokens);
-            mOnEnd.run();
         }
     }
 }
--- a/src/main/java/org/jacinthwharf/request/dispatch/RouteTable.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/RouteTable.java
@@ -20,7 +20,7 @@
     private final RoutingTable mTable;
     private final Map<String, Map<String, Route>> mByHost = new HashMap<>();
     private final Map<String, KeyHolder> mByKey = new HashMap<>();
-    private final ImmutableMap<String, Service> mServices;
+    private final ImmutableMap<String, ServiceGoals> mServices;
 
     private RouteTable(RoutingTable table) {
         mTable = table;
@@ -31,11 +31,25 @@
         for (KeyHolder holder : table.getKeyHoldersList()) {
             holder.getKeysList().forEach(k -> mByKey.put(k, holder));
         }
-        Map<String, Service> services = new LinkedHashMap<>();
-        table.getServicesList().forEach(s -> services.put(s.getName(), s));
+        Map<String, ServiceGoals> services = new LinkedHashMap<>();
+        for (Service s : table.getServicesList()) {
+            services.put(s.getName(), new ServiceGoals(s, shortestObjective(table, s.getName())));
+        }
         mServices = ImmutableMap.copyOf(services);
     }
 
+    private static long shortestObjective(RoutingTable table, String service) {
+        return table.getRoutesList().stream()
+                .filter(
+                        r ->
+                                r.getSharesList().stream()
+                                        .anyMatch(s -> s.getService().equals(service)))
+                .mapToLong(Route::getObjectiveMillis)
+                .filter(millis -> millis > 0)
+                .min()
+                .orElse(ServiceGoals.NO_OBJECTIVE_MILLIS);
+    }
+
     /** Returns the lookup form of a table that {@link RoutingTableCheck} accepts. */
     public static RouteTable of(RoutingTable table) {
         return new RouteTable(table);
@@ -79,7 +93,7 @@
     }
 
     /** Returns the services by name. */
-    public ImmutableMap<String, Service> services() {
+    public ImmutableMap<String, ServiceGoals> services() {
         return mServices;
     }
 }
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -25,6 +25,12 @@
     /** Part of the shared tokens that counts as cached where the prefix hash points to. */
     private static final double HASHED_CACHE_PART = 0.8;
 
+    /**
+     * Part of the shortest objective that a prompt may wait at an engine until it is read. Engines
+     * read in order of arrival, so whatever waits there delays every customer alike.
+     */
+    private static final double READING_PART = 0.5;
+
     /** Part of an engine's cache that running requests may hold; above it, engines preempt. */
     private static final double CACHE_PART = 0.85;
 
@@ -47,21 +53,22 @@
     /**
      * Returns the best of the servers that have room.
      *
+     * @param reading predicts the time to first events of the service's engines
      * @param candidates servers that may be sent to
      * @param excluded ids of servers that this request was sent to before
      */
     Optional<BackendServer> choose(
             DispatchRequest request,
-            Service service,
+            ServiceGoals goals,
+            ReadingModel reading,
             List<BackendServer> candidates,
-            Set<String> excluded,
-            long nowNanos) {
-        boolean engine = service.getEngineSlots() > 0;
+            Set<String> excluded) {
+        boolean engine = goals.isEngine();
         Optional<String> hashed = engine ? hashed(request, candidates) : Optional.empty();
         BackendServer best = null;
         double lowest = Double.MAX_VALUE;
         for (BackendServer s : candidates) {
-            if (excluded.contains(s.id()) || !hasRoom(request, service, s)) {
+            if (excluded.contains(s.id()) || !hasRoom(request, goals, reading, s)) {
                 continue;
             }
             double cost = engine ? engineCost(request, s, hashed) : plainCost(s);
@@ -73,10 +80,18 @@
         return Optional.ofNullable(best);
     }
 
-    private static boolean hasRoom(DispatchRequest request, Service service, BackendServer s) {
-        if (service.getEngineSlots() == 0) {
+    private static boolean hasRoom(
+            DispatchRequest request, ServiceGoals goals, ReadingModel reading, BackendServer s) {
+        Service service = goals.service();
+        if (!goals.isEngine()) {
             return s.runningOfAll() < Math.ceil(PLAIN_QUEUE * s.slots());
         }
+        // The same bound for all sizes of prompts: a bound that counts the prompt itself would let
+        // small ones keep an engine so busy that large ones never get in.
+        double waitMillis = reading.slope() * s.unreadOfAll();
+        if (waitMillis > READING_PART * goals.objectiveMillis()) {
+            return false;
+        }
         boolean fits =
                 s.heldOfAll() + request.tokens() <= CACHE_PART * service.getCacheTokens()
                         || s.runningOfAll() == 0;
