--- a/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
@@ -35,11 +35,6 @@
     /** Callers without configuration in force may find another gateway, or this one, after it. */
     private static final long NOT_READY_RETRY_MILLIS = 500;
 
-    /** Part of the response-time objective that a request may wait for a place. */
-    private static final double WAIT_PART = 0.6;
-
-    private static final long SHORTEST_WAIT_MILLIS = 100;
-
     private static final CallerConnection.CallerLeft ANSWERED =
             new CallerConnection.CallerLeft() {
                 @Override
@@ -98,9 +93,7 @@
         long patience =
                 Math.min(head.patienceMillis().orElse(Long.MAX_VALUE), route.getTimeoutMillis());
         long deadline = now + TimeUnit.MILLISECONDS.toNanos(patience);
-        double objective = route.getObjectiveMillis() > 0 ? route.getObjectiveMillis() : patience;
-        long wait = (long) Math.max(SHORTEST_WAIT_MILLIS, WAIT_PART * objective);
-        long startBy = Math.min(deadline, now + TimeUnit.MILLISECONDS.toNanos(wait));
+        long objective = route.getObjectiveMillis() > 0 ? route.getObjectiveMillis() : patience;
         String service = service(route);
         mBudget.onRequest(service, now);
         DispatchRequest dispatch =
@@ -116,7 +109,8 @@
                         head.promptTokens(),
                         head.outputTokens(),
                         now,
-                        startBy);
+                        objective,
+                        deadline);
         return new ForwardedCall(
                 request,
                 caller,
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -47,9 +47,6 @@
     /** With less time than this left, no server can answer in time. */
     private static final long LEAST_TIME_MILLIS = 5;
 
-    /** A repeat that finds no place for this long has lost what the caller wanted in time. */
-    private static final long REPEAT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
     private static final int MISDIRECTED = 421;
 
     private final FullHttpRequest mRequest;
@@ -397,8 +394,7 @@
         releaseBody();
         mEvents.dropPartialEvent();
         mWaiting = true;
-        long startBy = Math.min(mDeadlineNanos, now() + REPEAT_WAIT_NANOS);
-        mServices.submit(this, mDispatch.startingBy(startBy), mExcluded);
+        mServices.submit(this, mDispatch, mExcluded);
     }
 
     /** Takes note that no server can take the request now. */
--- a/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
@@ -17,7 +17,8 @@
  * @param promptTokens length of the prompt, 0 for plain services
  * @param outputTokens largest length of the answer, 0 for plain services
  * @param arrivalNanos when the request arrived
- * @param startByNanos after this time the request must not start
+ * @param objectiveMillis time to the answer, or to its first event, at which it is on time
+ * @param deadlineNanos when the caller gets a final answer at the latest
  */
 public record DispatchRequest(
         String id,
@@ -29,22 +30,8 @@
         int promptTokens,
         int outputTokens,
         long arrivalNanos,
-        long startByNanos) {
-
-    /** Returns the request with another time by which it must start. */
-    public DispatchRequest startingBy(long nanos) {
-        return new DispatchRequest(
-                id,
-                customer,
-                service,
-                route,
-                priority,
-                prompt,
-                promptTokens,
-                outputTokens,
-                arrivalNanos,
-                nanos);
-    }
+        long objectiveMillis,
+        long deadlineNanos) {
 
     /** Returns the parts that other requests share: all but the last, or the only one. */
     ImmutableList<PromptPart> sharedParts() {
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -32,6 +32,19 @@
     private static final int MAX_WAITING = 2_000;
 
     private static final long MILLI_NANOS = 1_000_000L;
+
+    /** A repeat that finds no place for this long has lost what the caller wanted in time. */
+    private static final long REPEAT_WAIT_NANOS = 1_500 * MILLI_NANOS;
+
+    /** Part of the objective that is planned for; the rest covers the way to the caller. */
+    private static final double ON_TIME_PART = 0.9;
+
+    /** Part of the objective that a plain server is expected to need. */
+    private static final double PLAIN_ANSWER_PART = 0.4;
+
+    /** A request may wait at least this long, since a place often comes free at once. */
+    private static final double SHORTEST_WAIT_MILLIS = 40;
+
     private static final long SHORTEST_RETRY_MILLIS = 250;
     private static final long LONGEST_RETRY_MILLIS = 3_000;
 
@@ -99,15 +112,36 @@
         if (isHopeless(request, excluded)) {
             return refuse(call, RefusalReason.NO_BACKEND_SERVER, retryMillis(1_000));
         }
-        long wait = queue.predictedWaitNanos(request, nowNanos).orElse(0L);
-        if (!first && (wait > request.startByNanos() - nowNanos || queue.size() >= MAX_WAITING)) {
+        long startBy = startBy(request, service.get(), first, nowNanos);
+        long wait = queue.predictedWaitNanos(request, startBy, nowNanos).orElse(0L);
+        if (!first && (wait > startBy - nowNanos || queue.size() >= MAX_WAITING)) {
             return refuse(
                     call, RefusalReason.DEADLINE_UNREACHABLE, retryMillis(wait / MILLI_NANOS));
         }
-        queue.add(new WaitingRequests.Waiting<>(request, call, excluded), first);
+        queue.add(new WaitingRequests.Waiting<>(request, call, excluded, startBy));
         return ImmutableList.of();
     }
 
+    /**
+     * Returns until when a request may wait: as long as its answer can still be on time. A repeat
+     * is late already, and may wait for a while.
+     */
+    private long startBy(
+            DispatchRequest request, ServiceGoals goals, boolean repeat, long nowNanos) {
+        if (repeat) {
+            return Math.min(request.deadlineNanos(), nowNanos + REPEAT_WAIT_NANOS);
+        }
+        double answer = PLAIN_ANSWER_PART * request.objectiveMillis();
+        if (goals.isEngine()) {
+            double own = reading(request.service()).slope() * request.promptTokens();
+            answer = mChoice.mostMillis(goals, reading(request.service())) + own / 2;
+        }
+        double wait =
+                Math.max(SHORTEST_WAIT_MILLIS, ON_TIME_PART * request.objectiveMillis() - answer);
+        return Math.min(
+                request.deadlineNanos(), request.arrivalNanos() + (long) (wait * MILLI_NANOS));
+    }
+
     /** Returns whether no server that is left could ever run the request. */
     private boolean isHopeless(DispatchRequest request, Set<String> excluded) {
         return mBoard.ofService(request.service()).stream()
@@ -136,8 +170,10 @@
         if (queue.size() == 0) {
             return;
         }
-        for (var late : queue.removeIf(w -> w.request().startByNanos() <= nowNanos)) {
-            long wait = queue.predictedWaitNanos(late.request(), nowNanos).orElse(0L);
+        for (var late : queue.removeIf(w -> w.startByNanos() <= nowNanos)) {
+            long wait =
+                    queue.predictedWaitNanos(late.request(), late.startByNanos(), nowNanos)
+                            .orElse(0L);
             actions.addAll(
                     refuse(late.call(), RefusalReason.QUEUE_FULL, retryMillis(wait / MILLI_NANOS)));
         }
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -1,7 +1,9 @@
 package org.jacinthwharf.request.dispatch;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -23,13 +25,16 @@
     private static final double FAR_TOKENS = 150;
 
     /** Part of the shared tokens that counts as cached where the prefix hash points to. */
-    private static final double HASHED_CACHE_PART = 0.8;
+    private static final double HASHED_CACHE_PART = 0.85;
+
+    /** Servers that keep the same shared parts. */
+    private static final int HASHED_SERVERS = 2;
 
     /**
      * Part of the shortest objective that a prompt may wait at an engine until it is read. Engines
      * read in order of arrival, so whatever waits there delays every customer alike.
      */
-    private static final double READING_PART = 0.5;
+    private static final double READING_PART = 0.4;
 
     /** Part of an engine's cache that running requests may hold; above it, engines preempt. */
     private static final double CACHE_PART = 0.85;
@@ -64,7 +69,7 @@
             List<BackendServer> candidates,
             Set<String> excluded) {
         boolean engine = goals.isEngine();
-        Optional<String> hashed = engine ? hashed(request, candidates) : Optional.empty();
+        Set<String> hashed = engine ? hashed(request, candidates) : Set.of();
         BackendServer best = null;
         double lowest = Double.MAX_VALUE;
         for (BackendServer s : candidates) {
@@ -98,15 +103,21 @@
         return s.runningOfAll() < s.slots() && fits;
     }
 
-    private double engineCost(DispatchRequest request, BackendServer s, Optional<String> hashed) {
+    /** Returns the longest time to a first event that a choice allows, in milliseconds. */
+    double mostMillis(ServiceGoals goals, ReadingModel reading) {
+        return reading.millis(0) + READING_PART * goals.objectiveMillis();
+    }
+
+    private double engineCost(DispatchRequest request, BackendServer s, Set<String> hashed) {
+        int shared = request.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
         double cached = s.cached(request.prompt());
-        if (hashed.filter(s.id()::equals).isPresent()) {
-            int shared = request.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+        if (hashed.contains(s.id())) {
             cached = Math.max(cached, HASHED_CACHE_PART * shared);
         }
         double unread = Math.max(0, request.promptTokens() - cached);
+        double reread = Math.max(0, shared - cached);
         double far = s.failureDomain().equals(mFailureDomain) ? 0 : FAR_TOKENS;
-        return s.unreadOfAll() + unread + RUNNING_TOKENS * s.runningOfAll() + far;
+        return s.unreadOfAll() + unread + reread + RUNNING_TOKENS * s.runningOfAll() + far;
     }
 
     private double plainCost(BackendServer s) {
@@ -115,24 +126,23 @@
         return (double) s.runningOfAll() / s.slots() + far + tie;
     }
 
-    /** Returns the server that the shared parts of the prompt hash to, the same at all gateways. */
-    private static Optional<String> hashed(
-            DispatchRequest request, List<BackendServer> candidates) {
+    /**
+     * Returns the servers that the shared parts of the prompt hash to, the same at all gateways:
+     * two, so that one busy server does not send the parts everywhere.
+     */
+    private static Set<String> hashed(DispatchRequest request, List<BackendServer> candidates) {
         List<PromptPart> shared = request.sharedParts();
         if (shared.isEmpty()) {
-            return Optional.empty();
+            return Set.of();
         }
         String key = shared.get(shared.size() - 1).id();
-        String best = null;
-        long highest = Long.MIN_VALUE;
-        for (BackendServer s : candidates) {
-            long weight = weight(key, s.id());
-            if (best == null || weight > highest) {
-                highest = weight;
-                best = s.id();
-            }
-        }
-        return Optional.ofNullable(best);
+        return candidates.stream()
+                .sorted(
+                        Comparator.comparingLong((BackendServer s) -> weight(key, s.id()))
+                                .reversed())
+                .limit(HASHED_SERVERS)
+                .map(BackendServer::id)
+                .collect(ImmutableSet.toImmutableSet());
     }
 
     /** Returns the rendezvous weight of a server for a key. */
--- a/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
@@ -1,19 +1,20 @@
 package org.jacinthwharf.request.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.request.admission.ServiceLedger;
 
 /**
  * Requests that wait for one service, ordered by priority, then by the service that their customer
- * received, then by arrival.
+ * received, then by the time by which they must start.
  *
  * <p>Not thread-safe. Invariant: the ledger knows which customers wait. Finding the next request is
  * linear in the customers that wait.
@@ -22,12 +23,12 @@
     private static final long RATE_WINDOW_NANOS = 1_000_000_000L;
 
     /** One waiting request. */
-    record Waiting<R>(DispatchRequest request, R call, java.util.Set<String> excluded) {}
+    record Waiting<R>(DispatchRequest request, R call, Set<String> excluded, long startByNanos) {}
 
     private record QueueKey(int priority, CustomerId customer) {}
 
     private final ServiceLedger mLedger;
-    private final Map<QueueKey, ArrayDeque<Waiting<R>>> mQueues = new HashMap<>();
+    private final Map<QueueKey, List<Waiting<R>>> mQueues = new HashMap<>();
     private final SlidingCount mStarts = new SlidingCount(RATE_WINDOW_NANOS);
     private int mSize;
 
@@ -39,15 +40,15 @@
         return mSize;
     }
 
-    /** Adds a request; one that was placed before goes in front of its customer's others. */
-    void add(Waiting<R> waiting, boolean first) {
+    /** Adds a request. */
+    void add(Waiting<R> waiting) {
         QueueKey key = key(waiting.request());
-        ArrayDeque<Waiting<R>> queue = mQueues.computeIfAbsent(key, k -> new ArrayDeque<>());
-        if (first) {
-            queue.addFirst(waiting);
-        } else {
-            queue.addLast(waiting);
+        List<Waiting<R>> queue = mQueues.computeIfAbsent(key, k -> new ArrayList<>());
+        int at = queue.size();
+        while (at > 0 && queue.get(at - 1).startByNanos() > waiting.startByNanos()) {
+            at--;
         }
+        queue.add(at, waiting);
         mSize++;
         mLedger.setBacklogged(key.customer(), true);
     }
@@ -59,7 +60,7 @@
                 Comparator.comparingInt(QueueKey::priority)
                         .thenComparingDouble(k -> mLedger.counter(k.customer()))
                         .thenComparing(QueueKey::customer));
-        return keys.stream().map(k -> mQueues.get(k).getFirst()).toList();
+        return keys.stream().map(k -> mQueues.get(k).get(0)).toList();
     }
 
     /** Removes a request that starts now. */
@@ -72,7 +73,7 @@
     boolean removeCall(R call) {
         Optional<Waiting<R>> found =
                 mQueues.values().stream()
-                        .flatMap(ArrayDeque::stream)
+                        .flatMap(Collection::stream)
                         .filter(w -> w.call() == call)
                         .findFirst();
         found.ifPresent(this::remove);
@@ -82,14 +83,14 @@
     /** Removes and returns the requests that satisfy a condition. */
     List<Waiting<R>> removeIf(Predicate<Waiting<R>> condition) {
         List<Waiting<R>> found =
-                mQueues.values().stream().flatMap(ArrayDeque::stream).filter(condition).toList();
+                mQueues.values().stream().flatMap(Collection::stream).filter(condition).toList();
         found.forEach(this::remove);
         return found;
     }
 
     private void remove(Waiting<R> waiting) {
         QueueKey key = key(waiting.request());
-        ArrayDeque<Waiting<R>> queue = mQueues.get(key);
+        List<Waiting<R>> queue = mQueues.get(key);
         if (queue == null || !queue.remove(waiting)) {
             return;
         }
@@ -105,15 +106,27 @@
     /**
      * Returns the time until a new request would start, in nanoseconds, from the rate of starts;
      * nothing if too little is known.
+     *
+     * <p>Ahead of it are its customer's requests that must start earlier, one request of each
+     * customer that received less, and one of every customer for each of its own.
      */
-    Optional<Long> predictedWaitNanos(DispatchRequest request, long nowNanos) {
+    Optional<Long> predictedWaitNanos(DispatchRequest request, long startByNanos, long nowNanos) {
         int starts = mStarts.count(nowNanos);
         if (mSize == 0 || starts == 0) {
             return Optional.empty();
         }
-        long customers = mQueues.size();
-        long own = Optional.ofNullable(mQueues.get(key(request))).map(ArrayDeque::size).orElse(0);
-        long ahead = Math.min(mSize, (own + 1) * Math.max(1, customers));
+        QueueKey key = key(request);
+        long own =
+                mQueues.getOrDefault(key, List.of()).stream()
+                        .filter(w -> w.startByNanos() <= startByNanos)
+                        .count();
+        double counter = mLedger.counter(key.customer());
+        long before =
+                mQueues.keySet().stream()
+                        .filter(k -> k.priority() <= key.priority())
+                        .filter(k -> mLedger.counter(k.customer()) < counter)
+                        .count();
+        long ahead = Math.min(mSize, own * mQueues.size() + before) + 1;
         return Optional.of(ahead * RATE_WINDOW_NANOS / starts);
     }
 
