--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -299,6 +299,9 @@
     private void onComplete() {
         int status = mServerHead.status().code();
         if (isNotRun()) {
+            if (status == MISDIRECTED) {
+                mPlacement.server().onUnreachable(now());
+            }
             onTurnedDown(RetryReason.BACKEND_NOT_RUN, "status " + status);
         } else if (status >= 500) {
             mPlacement.server().onFailure(now());
--- a/src/main/java/org/jacinthwharf/request/admission/ServiceLedger.java
+++ b/src/main/java/org/jacinthwharf/request/admission/ServiceLedger.java
@@ -213,6 +213,14 @@
         return mBacklogged.stream().mapToDouble(a -> a.mCounter).min().orElse(mFloor);
     }
 
+    /**
+     * Returns by how much the counter of a customer exceeds the smallest one of the customers that
+     * wait anywhere; 0 if none waits.
+     */
+    public double aheadOfBacklog(CustomerId customer) {
+        return mBacklogged.isEmpty() ? 0 : Math.max(0, counter(customer) - smallestBacklogged());
+    }
+
     private Account account(CustomerId customer) {
         return mAccounts.computeIfAbsent(customer, c -> new Account());
     }
--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -170,7 +170,7 @@
         }
     }
 
-    /** Leaves the server out at once, after a connection to it failed. */
+    /** Leaves the server out at once: no connection was made, or another one has its address. */
     public void onUnreachable(long nowNanos) {
         mFailures = Math.max(mFailures, FAILURES_TO_EJECT - 1);
         onFailure(nowNanos);
--- a/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
@@ -38,8 +38,13 @@
         return prompt.size() < 2 ? prompt : prompt.subList(0, prompt.size() - 1);
     }
 
-    /** Returns the tokens that the request may hold in an engine. */
-    long tokens() {
-        return (long) promptTokens + outputTokens;
+    /** Returns the length of the parts that other requests share. */
+    int sharedTokens() {
+        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+    }
+
+    /** Returns the tokens that the request may hold in an engine beside the shared parts. */
+    long ownTokens() {
+        return Math.max(0, (long) promptTokens + outputTokens - sharedTokens());
     }
 }
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -36,6 +36,12 @@
     /** A repeat that finds no place for this long has lost what the caller wanted in time. */
     private static final long REPEAT_WAIT_NANOS = 1_500 * MILLI_NANOS;
 
+    /**
+     * Part of its waiting time for which a request waits for a server that has its prompt's shared
+     * parts, before it goes where they have to be read again.
+     */
+    private static final double NEAR_PART = 0.4;
+
     /** Part of the objective that is planned for; the rest covers the way to the caller. */
     private static final double ON_TIME_PART = 0.9;
 
@@ -52,6 +58,7 @@
     private final ServerChoice mChoice;
     private final ColdPermits mCold;
     private final ServiceLedger mLedger;
+    private final Backlog mBacklog;
     private final VersionGate mVersions;
     private final Function<String, Optional<ServiceGoals>> mServices;
     private final RandomGenerator mRandom;
@@ -80,6 +87,7 @@
         mCold = cold;
         mHealth = health;
         mLedger = ledger;
+        mBacklog = new Backlog(ledger);
         mVersions = versions;
         mServices = services;
         mRandom = random;
@@ -104,7 +112,7 @@
         }
         WaitingRequests<R> queue = queue(request.service());
         if (first || queue.size() == 0) {
-            Optional<Placement> placed = place(request, service.get(), excluded, nowNanos);
+            Optional<Placement> placed = place(request, service.get(), excluded, first, nowNanos);
             if (placed.isPresent()) {
                 return ImmutableList.of(new DispatchAction.Place<>(call, placed.get()));
             }
@@ -115,6 +123,7 @@
         long startBy = startBy(request, service.get(), first, nowNanos);
         long wait = queue.predictedWaitNanos(request, startBy, nowNanos).orElse(0L);
         if (!first && (wait > startBy - nowNanos || queue.size() >= MAX_WAITING)) {
+            mBacklog.onRefused(request.customer(), nowNanos);
             return refuse(
                     call, RefusalReason.DEADLINE_UNREACHABLE, retryMillis(wait / MILLI_NANOS));
         }
@@ -157,6 +166,7 @@
 
     /** Places what fits now and refuses what cannot start in time; call every few milliseconds. */
     public ImmutableList<DispatchAction<R>> run(long nowNanos) {
+        mBacklog.expire(nowNanos);
         ImmutableList.Builder<DispatchAction<R>> actions = ImmutableList.builder();
         mWaiting.forEach((service, queue) -> run(service, queue, nowNanos, actions));
         return actions.build();
@@ -171,6 +181,7 @@
             return;
         }
         for (var late : queue.removeIf(w -> w.startByNanos() <= nowNanos)) {
+            mBacklog.onRefused(late.request().customer(), nowNanos);
             long wait =
                     queue.predictedWaitNanos(late.request(), late.startByNanos(), nowNanos)
                             .orElse(0L);
@@ -183,7 +194,12 @@
             placed = false;
             for (var head : queue.heads()) {
                 Optional<Placement> place =
-                        place(head.request(), service.get(), head.excluded(), nowNanos);
+                        place(
+                                head.request(),
+                                service.get(),
+                                head.excluded(),
+                                mayGoAnywhere(head, nowNanos),
+                                nowNanos);
                 if (place.isPresent()) {
                     queue.started(head, nowNanos);
                     actions.add(new DispatchAction.Place<>(head.call(), place.get()));
@@ -194,8 +210,17 @@
         }
     }
 
+    private static <R> boolean mayGoAnywhere(WaitingRequests.Waiting<R> w, long nowNanos) {
+        long arrival = w.request().arrivalNanos();
+        return nowNanos - arrival > NEAR_PART * (w.startByNanos() - arrival);
+    }
+
     private Optional<Placement> place(
-            DispatchRequest request, ServiceGoals goals, Set<String> excluded, long nowNanos) {
+            DispatchRequest request,
+            ServiceGoals goals,
+            Set<String> excluded,
+            boolean anywhere,
+            long nowNanos) {
         List<BackendServer> usable = new ArrayList<>();
         List<BackendServer> ejected = new ArrayList<>();
         for (BackendServer s : mBoard.ofService(request.service())) {
@@ -209,7 +234,11 @@
             usable.addAll(ejected);
         }
         List<BackendServer> allowed = mVersions.allowed(request, usable);
-        return mChoice.choose(request, goals, reading(request.service()), allowed, excluded)
+        double ahead = mLedger.aheadOfBacklog(request.customer());
+        return mChoice.choose(
+                        new ServerChoice.Question(request, goals, ahead, anywhere, excluded),
+                        reading(request.service()),
+                        allowed)
                 .map(s -> placement(request, goals, s, nowNanos));
     }
 
@@ -226,7 +255,7 @@
         return new Placement(
                 server,
                 unread,
-                request.tokens(),
+                request.ownTokens(),
                 nowNanos,
                 firstNanos ->
                         reading.onFirstEvent(
@@ -244,7 +273,7 @@
     }
 
     private WaitingRequests<R> queue(String service) {
-        return mWaiting.computeIfAbsent(service, s -> new WaitingRequests<>(mLedger));
+        return mWaiting.computeIfAbsent(service, s -> new WaitingRequests<>(mLedger, mBacklog));
     }
 
     /** Returns the requests that wait. */
--- a/src/main/java/org/jacinthwharf/request/dispatch/RouteTable.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/RouteTable.java
@@ -33,7 +33,12 @@
         }
         Map<String, ServiceGoals> services = new LinkedHashMap<>();
         for (Service s : table.getServicesList()) {
-            services.put(s.getName(), new ServiceGoals(s, shortestObjective(table, s.getName())));
+            services.put(
+                    s.getName(),
+                    new ServiceGoals(
+                            s,
+                            shortestObjective(table, s.getName()),
+                            table.getLimits().getTokensPerSecond()));
         }
         mServices = ImmutableMap.copyOf(services);
     }
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -36,8 +36,23 @@
      */
     private static final double READING_PART = 0.4;
 
-    /** Part of an engine's cache that running requests may hold; above it, engines preempt. */
-    private static final double CACHE_PART = 0.85;
+    /**
+     * Part of an engine's cache that running requests may hold beside shared parts; what they hold
+     * pushes kept parts out, and above the whole, engines preempt.
+     */
+    private static final double CACHE_PART = 0.6;
+
+    /** Shared parts below this length are read again anywhere in a few milliseconds. */
+    private static final int SMALL_SHARED_TOKENS = 1_000;
+
+    /** An engine with a smaller part of its slots in use has time to read parts again. */
+    private static final double IDLE_PART = 0.2;
+
+    /** Service by which a customer may be ahead, in seconds of all engines' work. */
+    private static final double WINDOW_SECONDS = 0.3;
+
+    private static final double LEAST_WINDOW = 20_000;
+    private static final double LEAST_SHARE = 0.15;
 
     /**
      * Requests in the queue of a plain server, for each slot, so that no slot idles a round trip.
@@ -55,28 +70,40 @@
         mRandom = random;
     }
 
+    /**
+     * What a choice is made for.
+     *
+     * @param aheadTokens service that the customer received beyond a customer that waits
+     * @param anywhere whether the request may go where its shared parts have to be read again
+     * @param excluded ids of servers that this request was sent to before
+     */
+    record Question(
+            DispatchRequest request,
+            ServiceGoals goals,
+            double aheadTokens,
+            boolean anywhere,
+            Set<String> excluded) {}
+
     /**
      * Returns the best of the servers that have room.
      *
      * @param reading predicts the time to first events of the service's engines
      * @param candidates servers that may be sent to
-     * @param excluded ids of servers that this request was sent to before
      */
     Optional<BackendServer> choose(
-            DispatchRequest request,
-            ServiceGoals goals,
-            ReadingModel reading,
-            List<BackendServer> candidates,
-            Set<String> excluded) {
-        boolean engine = goals.isEngine();
-        Set<String> hashed = engine ? hashed(request, candidates) : Set.of();
+            Question q, ReadingModel reading, List<BackendServer> candidates) {
+        boolean engine = q.goals().isEngine();
+        Set<String> hashed = engine ? hashed(q.request(), candidates) : Set.of();
         BackendServer best = null;
         double lowest = Double.MAX_VALUE;
         for (BackendServer s : candidates) {
-            if (excluded.contains(s.id()) || !hasRoom(request, goals, reading, s)) {
+            if (q.excluded().contains(s.id()) || !hasRoom(q, reading, s)) {
+                continue;
+            }
+            if (engine && !q.anywhere() && !isNear(q.request(), s, hashed)) {
                 continue;
             }
-            double cost = engine ? engineCost(request, s, hashed) : plainCost(s);
+            double cost = engine ? engineCost(q.request(), s, hashed) : plainCost(s);
             if (cost < lowest) {
                 lowest = cost;
                 best = s;
@@ -85,31 +112,48 @@
         return Optional.ofNullable(best);
     }
 
-    private static boolean hasRoom(
-            DispatchRequest request, ServiceGoals goals, ReadingModel reading, BackendServer s) {
-        Service service = goals.service();
-        if (!goals.isEngine()) {
+    private static boolean isNear(DispatchRequest r, BackendServer s, Set<String> hashed) {
+        int shared = r.sharedTokens();
+        return shared < SMALL_SHARED_TOKENS
+                || hashed.contains(s.id())
+                || s.cached(r.prompt()) >= HASHED_CACHE_PART * shared
+                || s.runningOfAll() < IDLE_PART * s.slots();
+    }
+
+    private static boolean hasRoom(Question q, ReadingModel reading, BackendServer s) {
+        Service service = q.goals().service();
+        if (!q.goals().isEngine()) {
             return s.runningOfAll() < Math.ceil(PLAIN_QUEUE * s.slots());
         }
         // The same bound for all sizes of prompts: a bound that counts the prompt itself would let
         // small ones keep an engine so busy that large ones never get in.
         double waitMillis = reading.slope() * s.unreadOfAll();
-        if (waitMillis > READING_PART * goals.objectiveMillis()) {
+        if (waitMillis > READING_PART * q.goals().objectiveMillis() * share(q)) {
             return false;
         }
         boolean fits =
-                s.heldOfAll() + request.tokens() <= CACHE_PART * service.getCacheTokens()
+                s.heldOfAll() + q.request().ownTokens() <= CACHE_PART * service.getCacheTokens()
                         || s.runningOfAll() == 0;
         return s.runningOfAll() < s.slots() && fits;
     }
 
+    /**
+     * Returns the part of an engine's room that a customer may use: less, the more service it got
+     * beyond one that waits, at whatever gateway. So room is left for those that are behind, and
+     * none is idle while only customers that are ahead have work.
+     */
+    private static double share(Question q) {
+        double window = Math.max(LEAST_WINDOW, WINDOW_SECONDS * q.goals().tokensPerSecond());
+        return Math.max(LEAST_SHARE, 1 - q.aheadTokens() / window);
+    }
+
     /** Returns the longest time to a first event that a choice allows, in milliseconds. */
     double mostMillis(ServiceGoals goals, ReadingModel reading) {
         return reading.millis(0) + READING_PART * goals.objectiveMillis();
     }
 
     private double engineCost(DispatchRequest request, BackendServer s, Set<String> hashed) {
-        int shared = request.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+        int shared = request.sharedTokens();
         double cached = s.cached(request.prompt());
         if (hashed.contains(s.id())) {
             cached = Math.max(cached, HASHED_CACHE_PART * shared);
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServiceGoals.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServiceGoals.java
@@ -9,8 +9,9 @@
  *
  * @param service the service
  * @param objectiveMillis the shortest response-time objective of its routes
+ * @param tokensPerSecond tokens a second that all engines produce together; 0 if unknown
  */
-public record ServiceGoals(Service service, long objectiveMillis) {
+public record ServiceGoals(Service service, long objectiveMillis, double tokensPerSecond) {
     /** Stands for the objective where no route states one. */
     static final long NO_OBJECTIVE_MILLIS = 1_000;
 
--- a/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
@@ -16,10 +16,11 @@
  * Requests that wait for one service, ordered by priority, then by the service that their customer
  * received, then by the time by which they must start.
  *
- * <p>Not thread-safe. Invariant: the ledger knows which customers wait. Finding the next request is
- * linear in the customers that wait.
+ * <p>Not thread-safe. Invariant: the backlog knows which customers wait. Finding the next request
+ * is linear in the customers that wait.
  */
 final class WaitingRequests<R> {
+    private static final int LOOK_AHEAD = 6;
     private static final long RATE_WINDOW_NANOS = 1_000_000_000L;
 
     /** One waiting request. */
@@ -28,12 +29,14 @@
     private record QueueKey(int priority, CustomerId customer) {}
 
     private final ServiceLedger mLedger;
+    private final Backlog mBacklog;
     private final Map<QueueKey, List<Waiting<R>>> mQueues = new HashMap<>();
     private final SlidingCount mStarts = new SlidingCount(RATE_WINDOW_NANOS);
     private int mSize;
 
-    WaitingRequests(ServiceLedger ledger) {
+    WaitingRequests(ServiceLedger ledger, Backlog backlog) {
         mLedger = ledger;
+        mBacklog = backlog;
     }
 
     int size() {
@@ -50,17 +53,20 @@
         }
         queue.add(at, waiting);
         mSize++;
-        mLedger.setBacklogged(key.customer(), true);
+        mBacklog.onWaiting(key.customer());
     }
 
-    /** Returns the requests at the heads of the queues in the order in which they are served. */
+    /**
+     * Returns the first requests of each customer in the order in which they are served: a few, so
+     * that one whose prompt is cached elsewhere does not hold up the others.
+     */
     List<Waiting<R>> heads() {
         List<QueueKey> keys = new ArrayList<>(mQueues.keySet());
         keys.sort(
                 Comparator.comparingInt(QueueKey::priority)
                         .thenComparingDouble(k -> mLedger.counter(k.customer()))
                         .thenComparing(QueueKey::customer));
-        return keys.stream().map(k -> mQueues.get(k).get(0)).toList();
+        return keys.stream().flatMap(k -> mQueues.get(k).stream().limit(LOOK_AHEAD)).toList();
     }
 
     /** Removes a request that starts now. */
@@ -95,11 +101,9 @@
             return;
         }
         mSize--;
+        mBacklog.onNoLongerWaiting(key.customer());
         if (queue.isEmpty()) {
             mQueues.remove(key);
-            boolean waits =
-                    mQueues.keySet().stream().anyMatch(k -> k.customer().equals(key.customer()));
-            mLedger.setBacklogged(key.customer(), waits);
         }
     }
 
