--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -135,7 +135,7 @@
             mMetricsEndpoint.listen(mSettings.listen().metrics().get().toSocketAddress());
         }
         LOGGER.atInfo().log(
-                "event=control_started vm=%s failure_domain=%s seeds=%s may_found=%b",
+                "event=control_member_started vm=%s failure_domain=%s seeds=%s may_found=%b",
                 mSettings.vmId(),
                 mSettings.failureDomain(),
                 mSettings.seeds(),
@@ -184,7 +184,7 @@
         mHttp.close();
         mLinks.close();
         CompletableFuture.runAsync(mOpenLog::close, mLoop).join();
-        LOGGER.atInfo().log("event=control_stopped vm=%s", mSettings.vmId());
+        LOGGER.atInfo().log("event=control_member_stopped vm=%s", mSettings.vmId());
     }
 
     /** Sorts the messages of gateways from those of members. */
--- a/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
@@ -149,7 +149,7 @@
             RefusalReason reason,
             long retryMillis) {
         LOGGER.atInfo().log(
-                "event=request_refused request=%s reason=%s host=%s path=%s",
+                "event=call_refused request=%s reason=%s host=%s path=%s",
                 head.requestId(),
                 reason.code(),
                 request.headers().get(HttpHeaderNames.HOST, ""),
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
@@ -103,7 +103,7 @@
         boolean tooLong =
                 cause instanceof TooLongHttpHeaderException
                         || cause instanceof TooLongHttpLineException;
-        LOGGER.atInfo().log("event=request_malformed cause='%s'", cause);
+        LOGGER.atInfo().log("event=call_malformed cause='%s'", cause);
         ReferenceCountUtil.release(request);
         mKeepAlive = false;
         mBusy = true;
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -185,7 +185,7 @@
         EdgeDialect.AnswerHead said = mServices.dialect().readAnswer(head.headers());
         if (said.requestId().filter(id -> !id.equals(mHead.requestId())).isPresent()) {
             LOGGER.atInfo().log(
-                    "event=crossed_answer request=%s server=%s answer_of=%s",
+                    "event=answer_crossed request=%s server=%s answer_of=%s",
                     mHead.requestId(), mPlacement.server(), said.requestId().get());
             return false;
         }
@@ -392,7 +392,7 @@
     private void repeat(RetryReason reason, String cause) {
         mServices.metrics().countRetry(reason);
         LOGGER.atInfo().log(
-                "event=request_repeated request=%s reason=%s cause='%s' runs=%d turned_down=%d",
+                "event=call_repeated request=%s reason=%s cause='%s' runs=%d turned_down=%d",
                 mHead.requestId(), reason.code(), cause, mRuns, mTurnedDown);
         releaseBody();
         mEvents.dropPartialEvent();
@@ -524,7 +524,7 @@
         double seconds = (now - mDispatch.arrivalNanos()) / 1e9;
         mServices.metrics().observeRequest(mRoute.getName(), outcome, seconds);
         LOGGER.atInfo().log(
-                "event=request_ended request=%s route=%s customer=%s service=%s outcome=%s"
+                "event=call_ended request=%s route=%s customer=%s service=%s outcome=%s"
                         + " status=%d runs=%d turned_down=%d wait_ms=%d first_ms=%d total_ms=%d"
                         + " servers=%s cause='%s'",
                 mHead.requestId(),
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayConfiguration.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayConfiguration.java
@@ -104,7 +104,7 @@
                         .map(FailureDomain::getId)
                         .collect(ImmutableSet.toImmutableSet());
         LOGGER.atInfo().log(
-                "event=configuration_in_force revision=%d routing=%d routes=%d closed=%s",
+                "event=routing_in_force revision=%d routing=%d routes=%d closed=%s",
                 c.getRevision(),
                 c.getRouting().getNumber(),
                 c.getRouting().getRoutesCount(),
--- a/src/test/java/org/jacinthwharf/process/consensus/SimulatedGroup.java
+++ b/src/test/java/org/jacinthwharf/process/consensus/SimulatedGroup.java
@@ -83,6 +83,14 @@
         return g;
     }
 
+    /** Starts a member on a VM that was not configured at the first start. */
+    Member startNewVm(String vm) {
+        Member m = new Member(vm);
+        mMembers.put(vm, m);
+        m.start();
+        return m;
+    }
+
     void at(long nanos, Runnable task) {
         mEvents.add(new Event(nanos, mEventCount++, task));
     }
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/membership/ServerDirectoryTest.java
@@ -0,0 +1,74 @@
+package org.jacinthwharf.process.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.jacinthwharf.wire.generated.ServerRecord;
+import org.jacinthwharf.wire.generated.ServerStatus;
+import org.junit.jupiter.api.Test;
+
+/** Guards against records that were held up and bring back what is over. */
+final class ServerDirectoryTest {
+    private final ServerDirectory mDirectory = new ServerDirectory();
+
+    private static ServerRecord record(
+            String id, String address, long born, long sequence, ServerStatus status) {
+        return ServerRecord.newBuilder()
+                .setServer(id)
+                .setAddress(address)
+                .setService("s")
+                .setBornMillis(born)
+                .setSequence(sequence)
+                .setStatus(status)
+                .build();
+    }
+
+    private ServerStatus status(String id) {
+        return mDirectory.find(id).orElseThrow().record().getStatus();
+    }
+
+    @Test
+    void lateRecordsDoNotBringBackDrainingServers() {
+        mDirectory.merge(record("a", "x", 1, 5, ServerStatus.DRAINING), 0);
+        assertThat(mDirectory.merge(record("a", "x", 1, 4, ServerStatus.SERVING), 1))
+                .isEqualTo(ServerDirectory.Change.NONE);
+        assertThat(status("a")).isEqualTo(ServerStatus.DRAINING);
+    }
+
+    @Test
+    void lateRecordsDoNotBringBackServersThatLeft() {
+        mDirectory.merge(record("a", "x", 1, 5, ServerStatus.SERVING), 0);
+        assertThat(mDirectory.leave("a", 0, 1)).isPresent();
+        mDirectory.merge(record("a", "x", 1, 9, ServerStatus.SERVING), 2);
+        assertThat(status("a")).isEqualTo(ServerStatus.GONE);
+    }
+
+    @Test
+    void aServerThatStartsAgainUnderItsIdCountsFromItsNewStart() {
+        mDirectory.merge(record("a", "x", 1, 500, ServerStatus.SERVING), 0);
+        mDirectory.leave("a", 1, 1);
+        mDirectory.merge(record("a", "y", 2, 1, ServerStatus.SERVING), 2);
+        assertThat(status("a")).isEqualTo(ServerStatus.SERVING);
+        assertThat(mDirectory.merge(record("a", "x", 1, 501, ServerStatus.SERVING), 3))
+                .isEqualTo(ServerDirectory.Change.NONE);
+    }
+
+    @Test
+    void recordsOfDeadServersDoNotTakeTheAddressOfTheirSuccessors() {
+        mDirectory.merge(record("new", "x", 2, 1, ServerStatus.SERVING), 0);
+        assertThat(mDirectory.merge(record("old", "x", 1, 7, ServerStatus.SERVING), 1))
+                .isEqualTo(ServerDirectory.Change.NONE);
+        assertThat(mDirectory.find("old")).isEmpty();
+    }
+
+    @Test
+    void agesAndColdTimesArePassedOnAsTheyAreAtTheSending() {
+        ServerRecord cold =
+                record("a", "x", 1, 1, ServerStatus.SERVING).toBuilder()
+                        .setColdLeftMillis(3_000)
+                        .build();
+        mDirectory.merge(cold, 0);
+        ServerRecord later = mDirectory.find("a").orElseThrow().toMessage(1_000_000_000L);
+        assertThat(later.getAgeMillis()).isEqualTo(1_000);
+        assertThat(later.getColdLeftMillis()).isEqualTo(2_000);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
@@ -0,0 +1,120 @@
+package org.jacinthwharf.request.dispatch;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.request.admission.ServiceLedger;
+import org.jacinthwharf.wire.generated.ServerRecord;
+import org.jacinthwharf.wire.generated.ServerStatus;
+import org.jacinthwharf.wire.generated.Service;
+
+/** One gateway's dispatcher before a few engines, without network. Not thread-safe. */
+final class DispatchScenario {
+    static final long SECOND = 1_000_000_000L;
+    static final long MILLI = 1_000_000L;
+    static final String ENGINES = "engines";
+    static final String BOOKING = "booking";
+
+    final ServerBoard mBoard = new ServerBoard();
+    final ServiceLedger mLedger = new ServiceLedger("g1/1", SECOND / 5);
+    final ColdPermits mCold = new ColdPermits("g1");
+    final DispatchHealth mHealth = new DispatchHealth(SECOND);
+    final Dispatcher<String> mDispatcher;
+    final List<String> mPlaced = new ArrayList<>();
+    final List<Placement> mPlacements = new ArrayList<>();
+    final List<String> mRefused = new ArrayList<>();
+    long mNow = 100 * SECOND;
+
+    DispatchScenario() {
+        Service engines =
+                Service.newBuilder()
+                        .setName(ENGINES)
+                        .setEngineSlots(64)
+                        .setCacheTokens(500_000)
+                        .setColdRate(16)
+                        .build();
+        Service booking = Service.newBuilder().setName(BOOKING).build();
+        mDispatcher =
+                new Dispatcher<>(
+                        mBoard,
+                        "west",
+                        mCold,
+                        mHealth,
+                        mLedger,
+                        (request, servers) -> servers,
+                        name ->
+                                name.equals(ENGINES)
+                                        ? Optional.of(new ServiceGoals(engines, 400, 200_000))
+                                        : Optional.of(new ServiceGoals(booking, 200, 0)),
+                        new SplittableRandom(1));
+    }
+
+    void server(String id, String service, int slots, long coldMillis) {
+        mBoard.update(
+                ServerRecord.newBuilder()
+                        .setServer(id)
+                        .setService(service)
+                        .setAddress("10.0.0.1:1")
+                        .setFailureDomain("west")
+                        .setStatus(ServerStatus.SERVING)
+                        .setSlots(slots)
+                        .build(),
+                mNow,
+                mNow + coldMillis * MILLI);
+    }
+
+    DispatchRequest prompt(String id, String customer, String session, int shared, int own) {
+        return new DispatchRequest(
+                id,
+                CustomerId.of(customer),
+                ENGINES,
+                "chat",
+                1,
+                ImmutableList.of(new PromptPart(session, shared), new PromptPart(id, own)),
+                shared + own,
+                100,
+                mNow,
+                400,
+                mNow + 10 * SECOND);
+    }
+
+    DispatchRequest booking(String id) {
+        return new DispatchRequest(
+                id,
+                CustomerId.of("a"),
+                BOOKING,
+                "book",
+                1,
+                ImmutableList.of(),
+                0,
+                0,
+                mNow,
+                200,
+                mNow + SECOND);
+    }
+
+    void submit(DispatchRequest request) {
+        note(mDispatcher.submit(request.id(), request, mNow));
+    }
+
+    void run(long millis) {
+        for (long i = 0; i < millis; i += 10) {
+            mNow += 10 * MILLI;
+            note(mDispatcher.run(mNow));
+        }
+    }
+
+    private void note(List<DispatchAction<String>> actions) {
+        for (DispatchAction<String> a : actions) {
+            if (a instanceof DispatchAction.Place<String> p) {
+                mPlaced.add(p.call() + "@" + p.placement().server().id());
+                mPlacements.add(p.placement());
+            } else if (a instanceof DispatchAction.Refuse<String> r) {
+                mRefused.add(r.call() + ":" + r.reason().code() + ":" + r.retryAfterMillis());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
@@ -0,0 +1,174 @@
+package org.jacinthwharf.request.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jacinthwharf.id.CustomerId;
+import org.junit.jupiter.api.Test;
+
+/** Guards where requests go, how long they wait and when they are refused. */
+final class DispatcherTest {
+    private final DispatchScenario mScenario = new DispatchScenario();
+
+    // Guards against reading the shared parts of a prompt again at every engine.
+    @Test
+    void requestsWithTheSameSharedPartsStayAtTwoEnginesAtMost() {
+        for (int i = 0; i < 6; i++) {
+            mScenario.server("e" + i, DispatchScenario.ENGINES, 64, 0);
+        }
+        for (int i = 0; i < 40; i++) {
+            mScenario.submit(mScenario.prompt("r" + i, "a", "session", 5_000, 100));
+            mScenario.mPlacements.forEach(Placement::end);
+            mScenario.run(30);
+        }
+        Set<String> engines = new HashSet<>();
+        mScenario.mPlaced.forEach(p -> engines.add(p.substring(p.indexOf('@'))));
+        assertThat(mScenario.mPlaced).hasSize(40);
+        assertThat(engines.size()).isAtMost(2);
+    }
+
+    // Guards against prompts that queue at an engine, which serves in order of arrival.
+    @Test
+    void promptsBeyondTheBoundWaitHereAndNotAtTheEngine() {
+        mScenario.server("e", DispatchScenario.ENGINES, 64, 0);
+        for (int i = 0; i < 10; i++) {
+            mScenario.submit(mScenario.prompt("r" + i, "a", "s" + i, 0, 3_000));
+        }
+        assertThat(mScenario.mPlaced.size()).isLessThan(4);
+        assertThat(mScenario.mDispatcher.waiting() + mScenario.mRefused.size())
+                .isEqualTo(10 - mScenario.mPlaced.size());
+    }
+
+    // Guards against a flooding customer that keeps the others out.
+    @Test
+    void aCustomerThatGotLessIsServedBeforeOneThatFloods() {
+        mScenario.server("e", DispatchScenario.ENGINES, 64, 0);
+        for (int i = 0; i < 12; i++) {
+            mScenario.submit(mScenario.prompt("f" + i, "flood", "s" + i, 0, 3_000));
+        }
+        mScenario.submit(mScenario.prompt("small", "modest", "t", 0, 500));
+        mScenario.mPlacements.get(0).onFirstEvent(mScenario.mNow + DispatchScenario.MILLI);
+        mScenario.run(10);
+        mScenario.mPlacements.forEach(p -> p.onFirstEvent(mScenario.mNow));
+        mScenario.run(10);
+        assertThat(mScenario.mPlaced).contains("small@e");
+    }
+
+    // Guards against a gateway with few callers that takes the engines from customers elsewhere.
+    @Test
+    void aCustomerFarAheadOfOneThatWaitsElsewhereLeavesRoomAtTheEngines() {
+        mScenario.server("e", DispatchScenario.ENGINES, 64, 0);
+        mScenario.mLedger.setBacklogged(CustomerId.of("elsewhere"), true);
+        mScenario.mLedger.charge(CustomerId.of("a"), 1_000_000);
+        mScenario.submit(mScenario.prompt("r0", "a", "s0", 0, 1_000));
+        mScenario.submit(mScenario.prompt("r1", "a", "s1", 0, 1_000));
+        assertThat(mScenario.mPlaced).containsExactly("r0@e");
+        mScenario.submit(mScenario.prompt("r2", "elsewhere", "s2", 0, 1_000));
+        mScenario.run(10);
+        assertThat(mScenario.mPlaced).contains("r2@e");
+    }
+
+    // Guards against requests that are held until nobody wants their answer.
+    @Test
+    void aRequestThatCannotStartInTimeIsRefusedBeforeItsObjectiveIsOver() {
+        mScenario.server("e", DispatchScenario.ENGINES, 64, 0);
+        for (int i = 0; i < 10; i++) {
+            mScenario.submit(mScenario.prompt("r" + i, "a", "s" + i, 0, 6_000));
+        }
+        mScenario.run(400);
+        assertThat(mScenario.mDispatcher.waiting()).isEqualTo(0);
+        assertThat(mScenario.mPlaced.size() + mScenario.mRefused.size()).isEqualTo(10);
+        assertThat(mScenario.mRefused).isNotEmpty();
+    }
+
+    // Guards against callers that come back all at once.
+    @Test
+    void refusedCallersAreToldDifferentTimesToComeBack() {
+        mScenario.server("e", DispatchScenario.ENGINES, 64, 0);
+        for (int i = 0; i < 30; i++) {
+            mScenario.submit(mScenario.prompt("r" + i, "a", "s" + i, 0, 6_000));
+        }
+        mScenario.run(400);
+        List<String> times =
+                mScenario.mRefused.stream().map(r -> r.substring(r.lastIndexOf(':'))).toList();
+        assertThat(new HashSet<>(times).size()).isGreaterThan(times.size() / 2);
+    }
+
+    // Guards against a repeat at the server that has just failed.
+    @Test
+    void aRepeatGoesToAnotherServer() {
+        mScenario.server("b1", DispatchScenario.BOOKING, 6, 0);
+        mScenario.server("b2", DispatchScenario.BOOKING, 6, 0);
+        var actions =
+                mScenario.mDispatcher.resubmit(
+                        "r", mScenario.booking("r"), Set.of("b1"), mScenario.mNow);
+        assertThat(actions).hasSize(1);
+        var place = (DispatchAction.Place<String>) actions.get(0);
+        assertThat(place.placement().server().id()).isEqualTo("b2");
+    }
+
+    // Guards against a request that waits for servers that have all turned it down.
+    @Test
+    void aRepeatWithoutAnotherServerIsRefusedAtOnce() {
+        mScenario.server("b1", DispatchScenario.BOOKING, 6, 0);
+        var actions =
+                mScenario.mDispatcher.resubmit(
+                        "r", mScenario.booking("r"), Set.of("b1"), mScenario.mNow);
+        assertThat(actions.get(0)).isInstanceOf(DispatchAction.Refuse.class);
+    }
+
+    // Guards against a service that stops because every server failed a few times.
+    @Test
+    void ifMostServersFailTheyAreStillUsed() {
+        mScenario.server("b1", DispatchScenario.BOOKING, 6, 0);
+        mScenario.mBoard.find("b1").orElseThrow().onUnreachable(mScenario.mNow);
+        mScenario.submit(mScenario.booking("r"));
+        assertThat(mScenario.mPlaced).containsExactly("r@b1");
+    }
+
+    // Guards against a cold server that gets more than its rate from all gateways together.
+    @Test
+    void allGatewaysTogetherStayBelowTheRateOfColdServers() {
+        List<String> gateways = List.of("g1", "g2", "g3", "g4", "g5", "g6", "g7");
+        int total = 0;
+        for (String g : gateways) {
+            ColdPermits permits = new ColdPermits(g);
+            permits.setGateways(gateways);
+            total += permits.part("server", 16);
+        }
+        assertThat(total).isAtMost(16);
+        assertThat(total).isAtLeast(7);
+    }
+
+    // Guards against a gateway that sends to a cold server without knowing the others.
+    @Test
+    void aGatewayThatKnowsNoOthersSendsNothingToColdServers() {
+        mScenario.server("e", DispatchScenario.ENGINES, 64, 5_000);
+        mScenario.submit(mScenario.prompt("r", "a", "s", 0, 100));
+        assertThat(mScenario.mPlaced).isEmpty();
+    }
+
+    // Guards against work for a failure domain that is out of service.
+    @Test
+    void nothingGoesToClosedFailureDomains() {
+        mScenario.server("b1", DispatchScenario.BOOKING, 6, 0);
+        mScenario.mHealth.setClosedDomains(Set.of("west"));
+        mScenario.submit(mScenario.booking("r"));
+        assertThat(mScenario.mPlaced).isEmpty();
+    }
+
+    // Guards against taking the own silence for that of the servers.
+    @Test
+    void silenceOfServersCountsOnlyWhileControlIsInContact() {
+        mScenario.server("b1", DispatchScenario.BOOKING, 6, 0);
+        mScenario.mNow += 60 * DispatchScenario.SECOND;
+        mScenario.submit(mScenario.booking("r1"));
+        assertThat(mScenario.mPlaced).containsExactly("r1@b1");
+        mScenario.mHealth.onControlContact(true, mScenario.mNow);
+        mScenario.mNow += 10 * DispatchScenario.SECOND;
+        mScenario.submit(mScenario.booking("r2"));
+        assertThat(mScenario.mPlaced).containsExactly("r1@b1");
+    }
+}
