--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -122,12 +122,13 @@
         }
         long startBy = startBy(request, service.get(), first, nowNanos);
         long wait = queue.predictedWaitNanos(request, startBy, nowNanos).orElse(0L);
-        if (!first && (wait > startBy - nowNanos || queue.size() >= MAX_WAITING)) {
+        long giveUp = giveUp(request, startBy);
+        if (!first && (wait > giveUp - nowNanos || queue.size() >= MAX_WAITING)) {
             mBacklog.onRefused(request.customer(), nowNanos);
             return refuse(
                     call, RefusalReason.DEADLINE_UNREACHABLE, retryMillis(wait / MILLI_NANOS));
         }
-        queue.add(new WaitingRequests.Waiting<>(request, call, excluded, startBy));
+        queue.add(new WaitingRequests.Waiting<>(request, call, excluded, startBy, giveUp));
         return ImmutableList.of();
     }
 
@@ -151,6 +152,15 @@
                 request.deadlineNanos(), request.arrivalNanos() + (long) (wait * MILLI_NANOS));
     }
 
+    /**
+     * Returns when a waiting request is refused. Servers often have room a moment after an answer
+     * could have been on time, and a late answer is worth more to the caller than none.
+     */
+    private static long giveUp(DispatchRequest request, long startBy) {
+        long objective = request.arrivalNanos() + request.objectiveMillis() * MILLI_NANOS;
+        return Math.min(request.deadlineNanos(), Math.max(startBy, objective));
+    }
+
     /** Returns whether no server that is left could ever run the request. */
     private boolean isHopeless(DispatchRequest request, Set<String> excluded) {
         return mBoard.ofService(request.service()).stream()
@@ -180,7 +190,7 @@
         if (queue.size() == 0) {
             return;
         }
-        for (var late : queue.removeIf(w -> w.startByNanos() <= nowNanos)) {
+        for (var late : queue.removeIf(w -> w.giveUpNanos() <= nowNanos)) {
             mBacklog.onRefused(late.request().customer(), nowNanos);
             long wait =
                     queue.predictedWaitNanos(late.request(), late.startByNanos(), nowNanos)
@@ -192,7 +202,7 @@
         boolean placed = service.isPresent();
         while (placed && queue.size() > 0) {
             placed = false;
-            for (var head : queue.heads()) {
+            for (var head : queue.heads(nowNanos)) {
                 Optional<Placement> place =
                         place(
                                 head.request(),
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -49,10 +49,9 @@
     private static final double IDLE_PART = 0.2;
 
     /** Service by which a customer may be ahead, in seconds of all engines' work. */
-    private static final double WINDOW_SECONDS = 0.3;
+    private static final double WINDOW_SECONDS = 0.15;
 
     private static final double LEAST_WINDOW = 20_000;
-    private static final double LEAST_SHARE = 0.15;
 
     /**
      * Requests in the queue of a plain server, for each slot, so that no slot idles a round trip.
@@ -139,12 +138,12 @@
 
     /**
      * Returns the part of an engine's room that a customer may use: less, the more service it got
-     * beyond one that waits, at whatever gateway. So room is left for those that are behind, and
-     * none is idle while only customers that are ahead have work.
+     * beyond one that waits, at whatever gateway. So room is left for those that are behind, in the
+     * order in which they are, and an engine without unread prompts takes anybody's.
      */
     private static double share(Question q) {
         double window = Math.max(LEAST_WINDOW, WINDOW_SECONDS * q.goals().tokensPerSecond());
-        return Math.max(LEAST_SHARE, 1 - q.aheadTokens() / window);
+        return 1 / (1 + q.aheadTokens() / window);
     }
 
     /** Returns the longest time to a first event that a choice allows, in milliseconds. */
--- a/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
@@ -23,8 +23,22 @@
     private static final int LOOK_AHEAD = 6;
     private static final long RATE_WINDOW_NANOS = 1_000_000_000L;
 
-    /** One waiting request. */
-    record Waiting<R>(DispatchRequest request, R call, Set<String> excluded, long startByNanos) {}
+    /**
+     * One waiting request.
+     *
+     * @param startByNanos until when it can start and still be on time
+     * @param giveUpNanos when it is refused
+     */
+    record Waiting<R>(
+            DispatchRequest request,
+            R call,
+            Set<String> excluded,
+            long startByNanos,
+            long giveUpNanos) {
+        boolean isLate(long nowNanos) {
+            return startByNanos < nowNanos;
+        }
+    }
 
     private record QueueKey(int priority, CustomerId customer) {}
 
@@ -58,15 +72,25 @@
 
     /**
      * Returns the first requests of each customer in the order in which they are served: a few, so
-     * that one whose prompt is cached elsewhere does not hold up the others.
+     * that one whose prompt is cached elsewhere does not hold up the others. Requests that can no
+     * longer be on time come after all that can.
      */
-    List<Waiting<R>> heads() {
+    List<Waiting<R>> heads(long nowNanos) {
         List<QueueKey> keys = new ArrayList<>(mQueues.keySet());
         keys.sort(
                 Comparator.comparingInt(QueueKey::priority)
                         .thenComparingDouble(k -> mLedger.counter(k.customer()))
                         .thenComparing(QueueKey::customer));
-        return keys.stream().flatMap(k -> mQueues.get(k).stream().limit(LOOK_AHEAD)).toList();
+        List<Waiting<R>> heads = new ArrayList<>();
+        for (boolean late : new boolean[] {false, true}) {
+            for (QueueKey key : keys) {
+                mQueues.get(key).stream()
+                        .filter(w -> w.isLate(nowNanos) == late)
+                        .limit(LOOK_AHEAD)
+                        .forEach(heads::add);
+            }
+        }
+        return heads;
     }
 
     /** Removes a request that starts now. */
