Refuse calls late in a planned stop; measure starts of all calls; one hashed engine

Engines drop parts that are used less often than their cache turns over, and two servers halve the use.

--- a/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
@@ -35,6 +35,9 @@
     /** Callers without configuration in force may find another gateway, or this one, after it. */
     private static final long NOT_READY_RETRY_MILLIS = 500;
 
+    /** Another gateway can take the request at once. */
+    private static final long DRAINING_RETRY_MILLIS = 50;
+
     private static final CallerConnection.CallerLeft ANSWERED =
             new CallerConnection.CallerLeft() {
                 @Override
@@ -63,6 +66,9 @@
     @Override
     public CallerConnection.CallerLeft onRequest(FullHttpRequest request, CallerConnection caller) {
         EdgeDialect.CallerHead head = mProcess.dialect().readCaller(request.headers());
+        if (mProcess.isRefusing()) {
+            return refuse(request, caller, head, RefusalReason.DRAINING, DRAINING_RETRY_MILLIS);
+        }
         Optional<RouteTable> routes = mConfiguration.routes();
         if (routes.isEmpty()) {
             return refuse(request, caller, head, RefusalReason.NOT_READY, NOT_READY_RETRY_MILLIS);
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -86,6 +86,7 @@
     private Channel mListener;
     private boolean mPlacing;
     private volatile boolean mDraining;
+    private volatile boolean mRefusing;
 
     /** Creates a process that is not started. */
     public GatewayProcess(
@@ -220,7 +221,10 @@
                                         },
                                         mLoop)
                                 .join(),
-                () -> mListener.close());
+                () -> {
+                    mRefusing = true;
+                    mListener.close();
+                });
         mReady.close();
         mLinks.close();
         LOGGER.atInfo().log("event=gateway_stopped vm=%s", mSettings.vmId());
@@ -345,6 +349,11 @@
         return mPool;
     }
 
+    /** Returns whether so little is left of a planned stop that a new call might be cut. */
+    boolean isRefusing() {
+        return mRefusing;
+    }
+
     /** Takes a call that was decoded. */
     void add(ForwardedCall call) {
         mCalls.add(call);
--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -16,6 +16,10 @@
 
     private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
     private static final long LONGEST_EJECTION_NANOS = 8_000_000_000L;
+
+    /** Part of an engine's cache that this gateway's prompts are expected to find kept. */
+    private static final double KEPT_PART = 0.3;
+
     private static final long SECOND_NANOS = 1_000_000_000L;
 
     private final String mId;
@@ -188,7 +192,7 @@
     void remember(List<PromptPart> prompt, long cacheTokens) {
         if (cacheTokens != mCacheTokens) {
             mCacheTokens = cacheTokens;
-            mPrompts = new PromptMemory(cacheTokens);
+            mPrompts = new PromptMemory((long) (KEPT_PART * cacheTokens));
         }
         mPrompts.add(prompt);
     }
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -42,6 +42,8 @@
      */
     private static final double NEAR_PART = 0.4;
 
+    private static final double NEAR_BEHIND_NANOS = 30 * MILLI_NANOS;
+
     /** Part of the objective that is planned for; the rest covers the way to the caller. */
     private static final double ON_TIME_PART = 0.9;
 
@@ -114,6 +116,7 @@
         if (first || queue.size() == 0) {
             Optional<Placement> placed = place(request, service.get(), excluded, first, nowNanos);
             if (placed.isPresent()) {
+                queue.noteStart(nowNanos);
                 return ImmutableList.of(new DispatchAction.Place<>(call, placed.get()));
             }
         }
@@ -220,9 +223,16 @@
         }
     }
 
-    private static <R> boolean mayGoAnywhere(WaitingRequests.Waiting<R> w, long nowNanos) {
+    /**
+     * Returns whether a request has waited long enough for the server that has its shared parts.
+     * The customer that is furthest behind waits a moment only: its prompts may all share the same
+     * part.
+     */
+    private boolean mayGoAnywhere(WaitingRequests.Waiting<R> w, long nowNanos) {
         long arrival = w.request().arrivalNanos();
-        return nowNanos - arrival > NEAR_PART * (w.startByNanos() - arrival);
+        boolean behind = mLedger.aheadOfBacklog(w.request().customer()) == 0;
+        double wait = NEAR_PART * (w.startByNanos() - arrival);
+        return nowNanos - arrival > (behind ? Math.min(wait, NEAR_BEHIND_NANOS) : wait);
     }
 
     private Optional<Placement> place(
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -27,8 +27,11 @@
     /** Part of the shared tokens that counts as cached where the prefix hash points to. */
     private static final double HASHED_CACHE_PART = 0.85;
 
-    /** Servers that keep the same shared parts. */
-    private static final int HASHED_SERVERS = 2;
+    /**
+     * Servers that keep the same shared parts. Engines also keep what only one request used, so a
+     * part that is used less often than the cache turns over is dropped; two servers halve the use.
+     */
+    private static final int HASHED_SERVERS = 1;
 
     /**
      * Part of the shortest objective that a prompt may wait at an engine until it is read. Engines
@@ -170,8 +173,7 @@
     }
 
     /**
-     * Returns the servers that the shared parts of the prompt hash to, the same at all gateways:
-     * two, so that one busy server does not send the parts everywhere.
+     * Returns the servers that the shared parts of the prompt hash to, the same at all gateways.
      */
     private static Set<String> hashed(DispatchRequest request, List<BackendServer> candidates) {
         List<PromptPart> shared = request.sharedParts();
--- a/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
@@ -20,7 +20,7 @@
  * is linear in the customers that wait.
  */
 final class WaitingRequests<R> {
-    private static final int LOOK_AHEAD = 6;
+    private static final int LOOK_AHEAD = 12;
     private static final long RATE_WINDOW_NANOS = 1_000_000_000L;
 
     /**
@@ -93,9 +93,14 @@
         return heads;
     }
 
+    /** Takes note that a request of the service starts, also one that did not wait. */
+    void noteStart(long nowNanos) {
+        mStarts.add(nowNanos);
+    }
+
     /** Removes a request that starts now. */
     void started(Waiting<R> waiting, long nowNanos) {
-        mStarts.add(nowNanos);
+        noteStart(nowNanos);
         remove(waiting);
     }
 
@@ -140,14 +145,15 @@
      */
     Optional<Long> predictedWaitNanos(DispatchRequest request, long startByNanos, long nowNanos) {
         int starts = mStarts.count(nowNanos);
-        if (mSize == 0 || starts == 0) {
-            return Optional.empty();
-        }
         QueueKey key = key(request);
         long own =
                 mQueues.getOrDefault(key, List.of()).stream()
                         .filter(w -> w.startByNanos() <= startByNanos)
                         .count();
+        // The first request of a customer may start at once, whatever the others have waiting.
+        if (own == 0 || starts == 0) {
+            return Optional.empty();
+        }
         double counter = mLedger.counter(key.customer());
         long before =
                 mQueues.keySet().stream()
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
@@ -14,7 +14,7 @@
 
     // Guards against reading the shared parts of a prompt again at every engine.
     @Test
-    void requestsWithTheSameSharedPartsStayAtTwoEnginesAtMost() {
+    void requestsWithTheSameSharedPartsStayAtOneEngine() {
         for (int i = 0; i < 6; i++) {
             mScenario.server("e" + i, DispatchScenario.ENGINES, 64, 0);
         }
@@ -26,7 +26,7 @@
         Set<String> engines = new HashSet<>();
         mScenario.mPlaced.forEach(p -> engines.add(p.substring(p.indexOf('@'))));
         assertThat(mScenario.mPlaced).hasSize(40);
-        assertThat(engines.size()).isAtMost(2);
+        assertThat(engines).hasSize(1);
     }
 
     // Guards against prompts that queue at an engine, which serves in order of arrival.
