--- a/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
@@ -140,8 +140,8 @@
      * Returns the time until a new request would start, in nanoseconds, from the rate of starts;
      * nothing if too little is known.
      *
-     * <p>Ahead of it are its customer's requests that must start earlier, one request of each
-     * customer that received less, and one of every customer for each of its own.
+     * <p>Ahead of it are its customer's requests that must start earlier, and those of customers
+     * that received less service.
      */
     Optional<Long> predictedWaitNanos(DispatchRequest request, long startByNanos, long nowNanos) {
         int starts = mStarts.count(nowNanos);
@@ -156,12 +156,17 @@
         }
         double counter = mLedger.counter(key.customer());
         long before =
-                mQueues.keySet().stream()
-                        .filter(k -> k.priority() <= key.priority())
-                        .filter(k -> mLedger.counter(k.customer()) < counter)
-                        .count();
-        long ahead = Math.min(mSize, own * mQueues.size() + before) + 1;
-        return Optional.of(ahead * RATE_WINDOW_NANOS / starts);
+                mQueues.entrySet().stream()
+                        .filter(e -> isBefore(e.getKey(), key, counter))
+                        .mapToLong(e -> e.getValue().size())
+                        .sum();
+        return Optional.of((own + before + 1) * RATE_WINDOW_NANOS / starts);
+    }
+
+    private boolean isBefore(QueueKey other, QueueKey key, double counter) {
+        return other.priority() < key.priority()
+                || (other.priority() == key.priority()
+                        && mLedger.counter(other.customer()) < counter);
     }
 
     private static QueueKey key(DispatchRequest r) {
