--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -52,9 +52,9 @@
     private static final double IDLE_PART = 0.2;
 
     /** Service by which a customer may be ahead, in seconds of all engines' work. */
-    private static final double WINDOW_SECONDS = 0.15;
+    private static final double WINDOW_SECONDS = 0.04;
 
-    private static final double LEAST_WINDOW = 20_000;
+    private static final double LEAST_WINDOW = 8_000;
 
     /**
      * Requests in the queue of a plain server, for each slot, so that no slot idles a round trip.
