--- a/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
@@ -61,7 +61,6 @@
     private CallerLeft mCurrent;
     private boolean mBusy;
     private boolean mKeepAlive;
-    private boolean mReceiving;
     private long mIdleSinceNanos = System.nanoTime();
 
     /**
@@ -197,12 +196,7 @@
 
     /** Returns since when no request is under way, or the latest time if one is. */
     long idleSinceNanos() {
-        return mBusy || mReceiving ? Long.MAX_VALUE : mIdleSinceNanos;
-    }
-
-    /** Takes note that part of a request has arrived. */
-    void onReceiving(boolean receiving) {
-        mReceiving = receiving;
+        return mBusy ? Long.MAX_VALUE : mIdleSinceNanos;
     }
 
     /** Closes a connection without a request. */
--- a/src/main/java/org/jacinthwharf/process/settings/NodeBounds.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeBounds.java
@@ -10,14 +10,10 @@
  * @param retryRatio repeats for each request, of all gateways together, in one window
  * @param retryWindowMillis length of that window
  * @param retrySlack repeats in one window beyond the ratio
- * @param moveShare part of a service's requests that a version may get before it is judged
- * @param moveStopMillis time within which a bad version gets no more requests
  */
 public record NodeBounds(
         long announceMillis,
         long stopGraceMillis,
         double retryRatio,
         long retryWindowMillis,
-        double retrySlack,
-        double moveShare,
-        long moveStopMillis) {}
+        double retrySlack) {}
--- a/src/main/java/org/jacinthwharf/process/settings/NodeSettings.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettings.java
@@ -1,8 +1,11 @@
 package org.jacinthwharf.process.settings;
 
+import com.google.common.base.Preconditions;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.net.InetAddresses;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.jacinthwharf.id.VmId;
 
@@ -32,15 +35,15 @@
         List<Endpoint> seeds,
         boolean mayFound,
         String dataFolder,
-        java.util.Map<String, String> regions,
+        Map<String, String> regions,
         NodeBounds bounds) {
 
     /** Creates settings; the VM id must be an IP address. */
     public NodeSettings {
-        com.google.common.base.Preconditions.checkArgument(
+        Preconditions.checkArgument(
                 InetAddresses.isInetAddress(vmId), "vmId must be an IP address: '%s'", vmId);
         seeds = ImmutableList.copyOf(seeds);
-        regions = com.google.common.collect.ImmutableMap.copyOf(regions);
+        regions = ImmutableMap.copyOf(regions);
     }
 
     /**
--- a/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
@@ -67,9 +67,7 @@
                         number(bounds, "stopGraceMillis", key),
                         need(bounds, "retryRatio", key).asDouble(),
                         number(bounds, "retryWindowMillis", key),
-                        need(bounds, "retrySlack", key).asDouble(),
-                        need(bounds, "moveShare", key).asDouble(),
-                        number(bounds, "moveStopMillis", key)));
+                        need(bounds, "retrySlack", key).asDouble()));
     }
 
     private static long number(JsonNode node, String name, String[] key) {
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -107,14 +107,14 @@
     }
 
     private ImmutableList<DispatchAction<R>> submit(
-            R call, DispatchRequest request, Set<String> excluded, boolean first, long nowNanos) {
+            R call, DispatchRequest request, Set<String> excluded, boolean repeat, long nowNanos) {
         Optional<ServiceGoals> service = mServices.apply(request.service());
         if (service.isEmpty()) {
             return refuse(call, RefusalReason.NO_BACKEND_SERVER, SHORTEST_RETRY_MILLIS);
         }
         WaitingRequests<R> queue = queue(request.service());
-        if (first || queue.size() == 0) {
-            Optional<Placement> placed = place(request, service.get(), excluded, first, nowNanos);
+        if (repeat || queue.size() == 0) {
+            Optional<Placement> placed = place(request, service.get(), excluded, repeat, nowNanos);
             if (placed.isPresent()) {
                 queue.noteStart(nowNanos);
                 return ImmutableList.of(new DispatchAction.Place<>(call, placed.get()));
@@ -123,10 +123,10 @@
         if (isHopeless(request, excluded)) {
             return refuse(call, RefusalReason.NO_BACKEND_SERVER, retryMillis(1_000));
         }
-        long startBy = startBy(request, service.get(), first, nowNanos);
+        long startBy = startBy(request, service.get(), repeat, nowNanos);
         long wait = queue.predictedWaitNanos(request, startBy, nowNanos).orElse(0L);
         long giveUp = giveUp(request, startBy);
-        if (!first && (wait > giveUp - nowNanos || queue.size() >= MAX_WAITING)) {
+        if (!repeat && (wait > giveUp - nowNanos || queue.size() >= MAX_WAITING)) {
             mBacklog.onRefused(request.customer(), nowNanos);
             return refuse(
                     call, RefusalReason.DEADLINE_UNREACHABLE, retryMillis(wait / MILLI_NANOS));
