Send repeats to the version that is not under trial; choose versions once for each request

Gateways chose at every attempt to place a request, and so counted it more than once. Ruled out: the retry budget (60% errors of a 5% share need 3% of the requests, the budget is 10%). Change: a repeat takes the version that is not under trial; a gateway keeps its choice.

--- a/src/main/java/org/jacinthwharf/process/gateway/VersionRules.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/VersionRules.java
@@ -1,6 +1,8 @@
 package org.jacinthwharf.process.gateway;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import org.jacinthwharf.id.ModelId;
@@ -25,7 +27,18 @@
  */
 final class VersionRules implements VersionGate {
     private final Function<String, Optional<Model>> mModels;
+
+    /** More than the requests that wait at once. */
+    private static final int MAX_CHOSEN = 4_096;
+
     private final VersionDriver mDriver;
+    private final Map<String, String> mChosen =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+                    return size() > MAX_CHOSEN;
+                }
+            };
 
     VersionRules(Function<String, Optional<Model>> models, VersionDriver driver) {
         mModels = models;
@@ -33,13 +46,15 @@
     }
 
     @Override
-    public List<BackendServer> allowed(DispatchRequest request, List<BackendServer> servers) {
+    public List<BackendServer> allowed(
+            DispatchRequest request, List<BackendServer> servers, boolean repeat) {
         Optional<Model> model = mModels.apply(request.service());
         if (model.isEmpty()) {
             return servers;
         }
         Model m = model.get();
-        String chosen = chosen(m, request);
+        String chosen =
+                repeat ? VersionDriver.chooseForRepeat(m).version().value() : chosen(m, request);
         List<BackendServer> matching =
                 servers.stream().filter(s -> label(m, s.version()).equals(chosen)).toList();
         if (!matching.isEmpty()) {
@@ -51,10 +66,18 @@
         return servers.stream().filter(s -> !(targetTaken && s.version().equals(target))).toList();
     }
 
+    /** Chooses once for each request, since the driver counts what it chooses. */
     private String chosen(Model m, DispatchRequest request) {
-        return m.hasMove()
-                ? mDriver.choose(m, RequestId.of(request.id()), request.route()).version().value()
-                : m.getCurrentVersion();
+        if (!m.hasMove()) {
+            return m.getCurrentVersion();
+        }
+        String key = m.getMove().getId() + "/" + m.getMove().getPhase() + "/" + request.id();
+        return mChosen.computeIfAbsent(
+                key,
+                k ->
+                        mDriver.choose(m, RequestId.of(request.id()), request.route())
+                                .version()
+                                .value());
     }
 
     /** Returns the version that the move counts a server under. */
--- a/src/main/java/org/jacinthwharf/process/moves/VersionDriver.java
+++ b/src/main/java/org/jacinthwharf/process/moves/VersionDriver.java
@@ -26,6 +26,7 @@
 import org.jacinthwharf.wire.generated.Configuration;
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.Model;
+import org.jacinthwharf.wire.generated.MovePhase;
 import org.jacinthwharf.wire.generated.RouteEvidence;
 import org.jacinthwharf.wire.generated.VersionEvidence;
 
@@ -136,6 +137,16 @@
         return PoolId.of(id, VersionId.of(version));
     }
 
+    /**
+     * Chooses the version for a repeat: the one that is not under trial, since the new one may have
+     * failed the request already, and a caller must not pay twice for the trial.
+     */
+    public static PoolId chooseForRepeat(Model model) {
+        boolean onTrial = model.hasMove() && model.getMove().getPhase() != MovePhase.DONE;
+        String version = onTrial ? model.getMove().getFromVersion() : model.getCurrentVersion();
+        return PoolId.of(ModelId.of(model.getId()), VersionId.of(version));
+    }
+
     /** One router of those that are linked sends the single requests of a canary at low rates. */
     private boolean hasLowRateTurn(String moveId) {
         TreeSet<VmId> routers = new TreeSet<>(mPeers.get());
--- a/src/main/java/org/jacinthwharf/process/router/RequestRun.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestRun.java
@@ -278,7 +278,7 @@
             apply(mAttempts.beforeSend(now()));
         } else {
             releaseSlot();
-            mQueued = queued(mServices.poolFor(mRequest));
+            mQueued = queued(mServices.poolForRepeat(mRequest));
             mServices.admission().readmit(mQueued);
         }
     }
--- a/src/main/java/org/jacinthwharf/process/router/RequestServices.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestServices.java
@@ -41,6 +41,9 @@
     /** Chooses the version that runs the request. */
     PoolId poolFor(CallerRequest request);
 
+    /** Chooses the version for a repeat of the request. */
+    PoolId poolForRepeat(CallerRequest request);
+
     /** Returns the estimated cost of the request in cost units. */
     double estimate(CallerRequest request);
 
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -377,6 +377,11 @@
         return mFirstByteTimes;
     }
 
+    @Override
+    public PoolId poolForRepeat(CallerRequest request) {
+        return VersionDriver.chooseForRepeat(mConfiguration.model(request.model()).orElseThrow());
+    }
+
     @Override
     public PoolId poolFor(CallerRequest request) {
         return mVersions.choose(
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -253,7 +253,7 @@
         if (usable.size() < ejected.size()) {
             usable.addAll(ejected);
         }
-        List<BackendServer> allowed = mVersions.allowed(request, usable);
+        List<BackendServer> allowed = mVersions.allowed(request, usable, !excluded.isEmpty());
         double ahead = mLedger.aheadOfBacklog(request.customer());
         return mChoice.choose(
                         new ServerChoice.Question(request, goals, ahead, anywhere, excluded),
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/moves/VersionDriverTest.java
@@ -0,0 +1,39 @@
+package org.jacinthwharf.process.moves;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.jacinthwharf.wire.generated.Model;
+import org.jacinthwharf.wire.generated.MovePhase;
+import org.jacinthwharf.wire.generated.VersionMove;
+import org.junit.jupiter.api.Test;
+
+/** Guards against callers that get the errors of a version under trial. */
+final class VersionDriverTest {
+    private static Model model(MovePhase phase, String current) {
+        return Model.newBuilder()
+                .setId("granite")
+                .setCurrentVersion(current)
+                .setMove(
+                        VersionMove.newBuilder()
+                                .setId("m")
+                                .setFromVersion("v1")
+                                .setToVersion("v2")
+                                .setShareBasisPoints(10_000)
+                                .setPhase(phase))
+                .build();
+    }
+
+    private static String repeatOf(Model model) {
+        return VersionDriver.chooseForRepeat(model).version().value();
+    }
+
+    @Test
+    void repeatsGoToTheOldVersionUntilTheMoveIsDone() {
+        assertThat(repeatOf(model(MovePhase.CANARY, "v1"))).isEqualTo("v1");
+        assertThat(repeatOf(model(MovePhase.WATCH, "v1"))).isEqualTo("v1");
+        assertThat(repeatOf(model(MovePhase.ROLLED_BACK, "v1"))).isEqualTo("v1");
+        assertThat(repeatOf(model(MovePhase.DONE, "v2"))).isEqualTo("v2");
+        assertThat(repeatOf(Model.newBuilder().setId("g").setCurrentVersion("v1").build()))
+                .isEqualTo("v1");
+    }
+}
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
@@ -44,7 +44,7 @@
                         mCold,
                         mHealth,
                         mLedger,
-                        (request, servers) -> servers,
+                        (request, servers, repeat) -> servers,
                         name ->
                                 name.equals(ENGINES)
                                         ? Optional.of(new ServiceGoals(engines, 400, 200_000))
