--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -19,6 +19,7 @@
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.consensus.ReplicatedLog;
 import org.jacinthwharf.process.loop.NettyEventLoop;
+import org.jacinthwharf.process.membership.DirectoryMessages;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.process.metrics.MetricsText;
 import org.jacinthwharf.process.settings.NodeSettings;
--- a/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
@@ -17,6 +17,7 @@
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.request.dispatch.DispatchRequest;
 import org.jacinthwharf.request.dispatch.FleetRetryBudget;
+import org.jacinthwharf.request.dispatch.Prompt;
 import org.jacinthwharf.request.dispatch.RouteTable;
 import org.jacinthwharf.wire.generated.KeyHolder;
 import org.jacinthwharf.wire.generated.Route;
@@ -111,7 +112,7 @@
                         holder.filter(KeyHolder::hasPriority)
                                 .map(KeyHolder::getPriority)
                                 .orElse(route.getPriority()),
-                        head.prompt(),
+                        Prompt.of(head.prompt()),
                         head.promptTokens(),
                         head.outputTokens(),
                         now,
--- a/src/main/java/org/jacinthwharf/process/gateway/DirectoryFollower.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/DirectoryFollower.java
@@ -1,13 +1,10 @@
 package org.jacinthwharf.process.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.membership.ServerDirectory;
 import org.jacinthwharf.request.dispatch.ServerBoard;
-import org.jacinthwharf.wire.generated.DirectoryAck;
 import org.jacinthwharf.wire.generated.DirectoryUpdate;
-import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.ServerRecord;
 
 /** Keeps the board of backend servers up to date. Used on the event loop only. */
@@ -24,8 +21,8 @@
         mLoop = loop;
     }
 
-    /** Takes an update and returns its acknowledgement. */
-    Envelope onUpdate(DirectoryUpdate update) {
+    /** Takes an update. */
+    void onUpdate(DirectoryUpdate update) {
         long now = mLoop.nowNanos();
         for (ServerRecord r : update.getRecordsList()) {
             ServerDirectory.Change change = mDirectory.merge(r, now);
@@ -34,8 +31,7 @@
             }
             ServerDirectory.Entry e = mDirectory.find(r.getServer()).orElseThrow();
             ServerRecord merged = e.record();
-            long coldUntil = now + TimeUnit.MILLISECONDS.toNanos(r.getColdLeftMillis());
-            mBoard.update(merged, e.heardNanos(), coldUntil);
+            mBoard.update(merged, e.heardNanos(), e.coldUntilNanos());
             if (change == ServerDirectory.Change.CHANGED) {
                 LOGGER.atInfo().log(
                         "event=server_known server=%s service=%s address=%s status=%s version=%s"
@@ -53,8 +49,5 @@
             }
         }
         mDirectory.expire(now);
-        return Envelope.newBuilder()
-                .setDirectoryAck(DirectoryAck.newBuilder().setNumber(update.getNumber()))
-                .build();
     }
 }
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -24,6 +24,7 @@
 import org.jacinthwharf.process.control.ConfigurationFollower;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.loop.NettyEventLoop;
+import org.jacinthwharf.process.membership.DirectoryMessages;
 import org.jacinthwharf.process.membership.ServerDirectory;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.process.metrics.MetricsText;
@@ -40,6 +41,7 @@
 import org.jacinthwharf.request.dispatch.ServerBoard;
 import org.jacinthwharf.version.EvidenceBook;
 import org.jacinthwharf.version.LocalVerdict;
+import org.jacinthwharf.wire.generated.DirectoryUpdate;
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.Hello;
 
@@ -165,7 +167,6 @@
         if (mSettings.listen().http().isEmpty()) {
             throw new IOException("listen.http must be given");
         }
-        mLoop.execute(mControl::open);
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(mLoop.group())
@@ -188,6 +189,7 @@
         if (mSettings.listen().metrics().isPresent()) {
             mMetricsEndpoint.listen(mSettings.listen().metrics().get().toSocketAddress());
         }
+        mLoop.execute(mControl::open);
         mLoop.scheduleRepeatedly(CALL_TICK, this::tickCalls);
         mLoop.scheduleRepeatedly(LOAD_TICK, this::tickLoad);
         mLoop.scheduleRepeatedly(SECOND, this::tickSecond);
@@ -303,7 +305,9 @@
                     mControl.setMembers(members);
                 }
                 case DIRECTORY_UPDATE -> {
-                    mControl.send(member, mDirectory.onUpdate(message.getDirectoryUpdate()));
+                    DirectoryUpdate update = message.getDirectoryUpdate();
+                    mDirectory.onUpdate(update);
+                    mControl.send(member, DirectoryMessages.ack(update.getNumber()));
                     place();
                 }
                 case FLEET_LOAD -> mLoad.onFleetLoad(member, message.getFleetLoad());
--- a/src/main/java/org/jacinthwharf/process/control/DirectoryMessages.java
+++ b/src/main/java/org/jacinthwharf/process/membership/DirectoryMessages.java
@@ -1,13 +1,14 @@
-package org.jacinthwharf.process.control;
+package org.jacinthwharf.process.membership;
 
 import org.jacinthwharf.wire.generated.DirectoryAck;
 import org.jacinthwharf.wire.generated.Envelope;
 
 /** Builds messages about backend servers. Stateless and thread-safe. */
-final class DirectoryMessages {
+public final class DirectoryMessages {
     private DirectoryMessages() {}
 
-    static Envelope ack(long number) {
+    /** Returns the acknowledgement of an update. */
+    public static Envelope ack(long number) {
         return Envelope.newBuilder()
                 .setDirectoryAck(DirectoryAck.newBuilder().setNumber(number))
                 .build();
--- a/src/main/java/org/jacinthwharf/process/membership/ServerDirectory.java
+++ b/src/main/java/org/jacinthwharf/process/membership/ServerDirectory.java
@@ -28,16 +28,16 @@
     /**
      * One server.
      *
-     * @param record the newest record; its ages count from {@code heardNanos}
+     * @param record the newest record; its times are those of its arrival
      * @param heardNanos when the server last said something, on the clock of this process
+     * @param coldUntilNanos when the server stops being cold, on the clock of this process
      */
-    public record Entry(ServerRecord record, long heardNanos) {
+    public record Entry(ServerRecord record, long heardNanos, long coldUntilNanos) {
         /** Returns the record as it has to be sent now. */
         public ServerRecord toMessage(long nowNanos) {
-            long age = Math.max(0, nowNanos - heardNanos) / MILLI_NANOS;
             return record.toBuilder()
-                    .setAgeMillis(age)
-                    .setColdLeftMillis(Math.max(0, record.getColdLeftMillis() - age))
+                    .setAgeMillis(Math.max(0, nowNanos - heardNanos) / MILLI_NANOS)
+                    .setColdLeftMillis(Math.max(0, coldUntilNanos - nowNanos) / MILLI_NANOS)
                     .build();
         }
     }
@@ -56,11 +56,12 @@
     public Change merge(ServerRecord record, long nowNanos) {
         Entry known = mServers.get(record.getServer());
         long heard = nowNanos - record.getAgeMillis() * MILLI_NANOS;
+        long coldUntil = nowNanos + record.getColdLeftMillis() * MILLI_NANOS;
         if (known == null || known.record().getBornMillis() < record.getBornMillis()) {
             if (isSupersededAtAddress(record)) {
                 return Change.NONE;
             }
-            put(record, heard);
+            put(record, heard, coldUntil);
             return Change.CHANGED;
         }
         if (known.record().getBornMillis() > record.getBornMillis()) {
@@ -74,7 +75,10 @@
         ServerRecord base = newer && !record.getAddress().isEmpty() ? record : known.record();
         long sequence = Math.max(record.getSequence(), known.record().getSequence());
         ServerRecord merged = base.toBuilder().setSequence(sequence).setStatus(status).build();
-        put(merged, newer ? Math.max(heard, known.heardNanos()) : known.heardNanos());
+        put(
+                merged,
+                newer ? Math.max(heard, known.heardNanos()) : known.heardNanos(),
+                newer ? coldUntil : known.coldUntilNanos());
         return isSameForSending(known.record(), merged) ? Change.HEARD : Change.CHANGED;
     }
 
@@ -89,12 +93,12 @@
             return Optional.empty();
         }
         ServerRecord gone = known.record().toBuilder().setStatus(ServerStatus.GONE).build();
-        put(gone, nowNanos);
+        put(gone, nowNanos, known.coldUntilNanos());
         return Optional.of(gone);
     }
 
-    private void put(ServerRecord record, long heardNanos) {
-        mServers.put(record.getServer(), new Entry(record, heardNanos));
+    private void put(ServerRecord record, long heardNanos, long coldUntilNanos) {
+        mServers.put(record.getServer(), new Entry(record, heardNanos, coldUntilNanos));
     }
 
     private boolean isSupersededAtAddress(ServerRecord record) {
--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -1,6 +1,5 @@
 package org.jacinthwharf.request.dispatch;
 
-import java.util.List;
 import org.jacinthwharf.wire.generated.ServerLoad;
 import org.jacinthwharf.wire.generated.ServerRecord;
 import org.jacinthwharf.wire.generated.ServerStatus;
@@ -24,6 +23,7 @@
 
     private final String mId;
     private final long mBornMillis;
+    private final long mHash;
     private final SlidingCount mSentRecently = new SlidingCount(SECOND_NANOS + 100_000_000L);
     private ServerRecord mRecord = ServerRecord.getDefaultInstance();
     private long mHeardNanos;
@@ -41,6 +41,7 @@
     BackendServer(String id, long bornMillis) {
         mId = id;
         mBornMillis = bornMillis;
+        mHash = Rendezvous.hash(id);
     }
 
     void take(ServerRecord record, long heardNanos, long coldUntilNanos) {
@@ -54,6 +55,11 @@
         return mId;
     }
 
+    /** Returns the hash of the id, by which prompts are spread. */
+    long hash() {
+        return mHash;
+    }
+
     /** Returns when this life started, in milliseconds since the epoch; 0 if it does not say. */
     public long bornMillis() {
         return mBornMillis;
@@ -185,16 +191,16 @@
     }
 
     /** Returns how many tokens of the prompt this gateway believes to be cached there. */
-    int cached(List<PromptPart> prompt) {
-        return mPrompts.cached(prompt);
+    int cached(Prompt prompt) {
+        return mPrompts.cached(prompt.parts());
     }
 
-    void remember(List<PromptPart> prompt, long cacheTokens) {
+    void remember(Prompt prompt, long cacheTokens) {
         if (cacheTokens != mCacheTokens) {
             mCacheTokens = cacheTokens;
             mPrompts = new PromptMemory((long) (KEPT_PART * cacheTokens));
         }
-        mPrompts.add(prompt);
+        mPrompts.add(prompt.parts());
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/request/dispatch/ColdPermits.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ColdPermits.java
@@ -48,7 +48,10 @@
                 mGateways.stream()
                         .sorted(
                                 Comparator.comparingLong(
-                                        (String g) -> ServerChoice.weight(server, g)))
+                                        (String g) ->
+                                                Rendezvous.weight(
+                                                        Rendezvous.hash(server),
+                                                        Rendezvous.hash(g))))
                         .toList()
                         .indexOf(mSelf);
         if (rank < 0 || rank >= sharers) {
--- a/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
@@ -1,6 +1,5 @@
 package org.jacinthwharf.request.dispatch;
 
-import com.google.common.collect.ImmutableList;
 import org.jacinthwharf.id.CustomerId;
 
 /**
@@ -13,7 +12,7 @@
  * @param service service that has to run it
  * @param route name of the route
  * @param priority 0 is the most urgent
- * @param prompt parts of the prompt, empty for plain services
+ * @param prompt empty for plain services
  * @param promptTokens length of the prompt, 0 for plain services
  * @param outputTokens largest length of the answer, 0 for plain services
  * @param arrivalNanos when the request arrived
@@ -26,25 +25,15 @@
         String service,
         String route,
         int priority,
-        ImmutableList<PromptPart> prompt,
+        Prompt prompt,
         int promptTokens,
         int outputTokens,
         long arrivalNanos,
         long objectiveMillis,
         long deadlineNanos) {
 
-    /** Returns the parts that other requests share: all but the last, or the only one. */
-    ImmutableList<PromptPart> sharedParts() {
-        return prompt.size() < 2 ? prompt : prompt.subList(0, prompt.size() - 1);
-    }
-
-    /** Returns the length of the parts that other requests share. */
-    int sharedTokens() {
-        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
-    }
-
     /** Returns the tokens that the request may hold in an engine beside the shared parts. */
     long ownTokens() {
-        return Math.max(0, (long) promptTokens + outputTokens - sharedTokens());
+        return Math.max(0, (long) promptTokens + outputTokens - prompt.sharedTokens());
     }
 }
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -1,12 +1,10 @@
 package org.jacinthwharf.request.dispatch;
 
-import com.google.common.collect.ImmutableSet;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.jacinthwharf.wire.generated.Service;
 
@@ -24,14 +22,26 @@
     /** Prompt tokens that a choice outside of the own failure domain has to save. */
     private static final double FAR_TOKENS = 150;
 
-    /** Part of the shared tokens that counts as cached where the prefix hash points to. */
-    private static final double HASHED_CACHE_PART = 0.85;
+    /** Part of the shared tokens that counts as kept at the home of a prompt. */
+    private static final double HOME_KEPT_PART = 0.85;
 
     /**
-     * Servers that keep the same shared parts. Engines also keep what only one request used, so a
-     * part that is used less often than the cache turns over is dropped; two servers halve the use.
+     * Part of the shared tokens that counts as kept at the second home: all gateways send there
+     * what the home has no room for.
      */
-    private static final int HASHED_SERVERS = 1;
+    private static final double SECOND_KEPT_PART = 0.1;
+
+    /**
+     * Weight of a shared token that has to be read again. Reading it costs the engine once, and
+     * pushes out of the engine's cache what other requests share.
+     */
+    private static final double REREAD_WEIGHT = 6;
+
+    /**
+     * Part of an engine's room that is open to requests which have their home elsewhere, so that an
+     * engine does not turn away its own for the overflow of another.
+     */
+    private static final double GUEST_PART = 0.5;
 
     /**
      * Part of the shortest objective that a prompt may wait at an engine until it is read. Engines
@@ -94,43 +104,105 @@
      */
     Optional<BackendServer> choose(
             Question q, ReadingModel reading, List<BackendServer> candidates) {
-        boolean engine = q.goals().isEngine();
-        Set<String> hashed = engine ? hashed(q.request(), candidates) : Set.of();
+        List<BackendServer> left =
+                candidates.stream().filter(s -> !q.excluded().contains(s.id())).toList();
+        return q.goals().isEngine() ? engine(q, reading, left) : plain(left);
+    }
+
+    private Optional<BackendServer> plain(List<BackendServer> candidates) {
+        return cheapest(
+                candidates,
+                s -> s.runningOfAll() < Math.ceil(PLAIN_QUEUE * s.slots()),
+                this::plainCost);
+    }
+
+    private Optional<BackendServer> engine(
+            Question q, ReadingModel reading, List<BackendServer> candidates) {
+        Prompt prompt = q.request().prompt();
+        Homes homes = Homes.of(prompt, candidates);
+        return cheapest(
+                candidates,
+                s -> {
+                    boolean idle = s.runningOfAll() < IDLE_PART * s.slots();
+                    boolean mayEnter = q.anywhere() || idle || homes.isKept(prompt, s);
+                    return mayEnter && hasRoom(q, reading, s, homes.roomPart(prompt, s));
+                },
+                s -> engineCost(q.request(), s, homes));
+    }
+
+    /** Returns the server with the lowest cost; each cost is computed once. */
+    private static Optional<BackendServer> cheapest(
+            List<BackendServer> candidates,
+            Predicate<BackendServer> allowed,
+            ToDoubleFunction<BackendServer> cost) {
         BackendServer best = null;
         double lowest = Double.MAX_VALUE;
         for (BackendServer s : candidates) {
-            if (q.excluded().contains(s.id()) || !hasRoom(q, reading, s)) {
-                continue;
-            }
-            if (engine && !q.anywhere() && !isNear(q.request(), s, hashed)) {
-                continue;
-            }
-            double cost = engine ? engineCost(q.request(), s, hashed) : plainCost(s);
-            if (cost < lowest) {
-                lowest = cost;
+            double own = allowed.test(s) ? cost.applyAsDouble(s) : Double.MAX_VALUE;
+            if (own < lowest) {
+                lowest = own;
                 best = s;
             }
         }
         return Optional.ofNullable(best);
     }
 
-    private static boolean isNear(DispatchRequest r, BackendServer s, Set<String> hashed) {
-        int shared = r.sharedTokens();
-        return shared < SMALL_SHARED_TOKENS
-                || hashed.contains(s.id())
-                || s.cached(r.prompt()) >= HASHED_CACHE_PART * shared
-                || s.runningOfAll() < IDLE_PART * s.slots();
+    /**
+     * The engines that keep the shared parts of a prompt, the same for all gateways. One is enough:
+     * engines also keep what only one request used, so a part that is used less often than the
+     * cache turns over is dropped, and two engines halve the use.
+     *
+     * @param first gets all requests it has room for; null if the prompt shares nothing
+     * @param second gets the others first; null if there is none
+     */
+    private record Homes(BackendServer first, BackendServer second) {
+        static Homes of(Prompt prompt, List<BackendServer> candidates) {
+            BackendServer first = null;
+            BackendServer second = null;
+            long highest = Long.MIN_VALUE;
+            long next = Long.MIN_VALUE;
+            if (!prompt.isShared()) {
+                return new Homes(null, null);
+            }
+            for (BackendServer s : candidates) {
+                long weight = Rendezvous.weight(prompt.sharedHash(), s.hash());
+                if (first == null || weight > highest) {
+                    second = first;
+                    next = highest;
+                    first = s;
+                    highest = weight;
+                } else if (second == null || weight > next) {
+                    second = s;
+                    next = weight;
+                }
+            }
+            return new Homes(first, second);
+        }
+
+        /** Returns whether a server keeps the shared parts, or reads them again in no time. */
+        boolean isKept(Prompt prompt, BackendServer s) {
+            int shared = prompt.sharedTokens();
+            return shared < SMALL_SHARED_TOKENS
+                    || s == first
+                    || s.cached(prompt) >= HOME_KEPT_PART * shared;
+        }
+
+        double roomPart(Prompt prompt, BackendServer s) {
+            return s == first || prompt.sharedTokens() < SMALL_SHARED_TOKENS ? 1 : GUEST_PART;
+        }
+
+        double kept(Prompt prompt, BackendServer s) {
+            double part = s == first ? HOME_KEPT_PART : s == second ? SECOND_KEPT_PART : 0;
+            return Math.max(s.cached(prompt), part * prompt.sharedTokens());
+        }
     }
 
-    private static boolean hasRoom(Question q, ReadingModel reading, BackendServer s) {
+    private static boolean hasRoom(Question q, ReadingModel reading, BackendServer s, double part) {
         Service service = q.goals().service();
-        if (!q.goals().isEngine()) {
-            return s.runningOfAll() < Math.ceil(PLAIN_QUEUE * s.slots());
-        }
         // The same bound for all sizes of prompts: a bound that counts the prompt itself would let
         // small ones keep an engine so busy that large ones never get in.
         double waitMillis = reading.slope() * s.unreadOfAll();
-        if (waitMillis > READING_PART * q.goals().objectiveMillis() * share(q)) {
+        if (waitMillis > READING_PART * q.goals().objectiveMillis() * share(q) * part) {
             return false;
         }
         boolean fits =
@@ -154,16 +226,16 @@
         return reading.millis(0) + READING_PART * goals.objectiveMillis();
     }
 
-    private double engineCost(DispatchRequest request, BackendServer s, Set<String> hashed) {
-        int shared = request.sharedTokens();
-        double cached = s.cached(request.prompt());
-        if (hashed.contains(s.id())) {
-            cached = Math.max(cached, HASHED_CACHE_PART * shared);
-        }
-        double unread = Math.max(0, request.promptTokens() - cached);
-        double reread = Math.max(0, shared - cached);
+    private double engineCost(DispatchRequest request, BackendServer s, Homes homes) {
+        double kept = homes.kept(request.prompt(), s);
+        double unread = Math.max(0, request.promptTokens() - kept);
+        double reread = Math.max(0, request.prompt().sharedTokens() - kept);
         double far = s.failureDomain().equals(mFailureDomain) ? 0 : FAR_TOKENS;
-        return s.unreadOfAll() + unread + reread + RUNNING_TOKENS * s.runningOfAll() + far;
+        return s.unreadOfAll()
+                + unread
+                + REREAD_WEIGHT * reread
+                + RUNNING_TOKENS * s.runningOfAll()
+                + far;
     }
 
     private double plainCost(BackendServer s) {
@@ -171,29 +243,4 @@
         double tie = mRandom.nextDouble() / (4 * s.slots());
         return (double) s.runningOfAll() / s.slots() + far + tie;
     }
-
-    /**
-     * Returns the servers that the shared parts of the prompt hash to, the same at all gateways.
-     */
-    private static Set<String> hashed(DispatchRequest request, List<BackendServer> candidates) {
-        List<PromptPart> shared = request.sharedParts();
-        if (shared.isEmpty()) {
-            return Set.of();
-        }
-        String key = shared.get(shared.size() - 1).id();
-        return candidates.stream()
-                .sorted(
-                        Comparator.comparingLong((BackendServer s) -> weight(key, s.id()))
-                                .reversed())
-                .limit(HASHED_SERVERS)
-                .map(BackendServer::id)
-                .collect(ImmutableSet.toImmutableSet());
-    }
-
-    /** Returns the rendezvous weight of a server for a key. */
-    static long weight(String key, String server) {
-        return Hashing.murmur3_128()
-                .hashString(key + "|" + server, StandardCharsets.UTF_8)
-                .asLong();
-    }
 }
--- a/src/test/java/org/jacinthwharf/process/membership/ServerDirectoryTest.java
+++ b/src/test/java/org/jacinthwharf/process/membership/ServerDirectoryTest.java
@@ -71,4 +71,27 @@
         assertThat(later.getAgeMillis()).isEqualTo(1_000);
         assertThat(later.getColdLeftMillis()).isEqualTo(2_000);
     }
+
+    @Test
+    void lateRecordsDoNotEndColdTimes() {
+        ServerRecord cold =
+                record("a", "x", 1, 5, ServerStatus.SERVING).toBuilder()
+                        .setColdLeftMillis(3_000)
+                        .build();
+        mDirectory.merge(cold, 0);
+        mDirectory.merge(record("a", "x", 1, 4, ServerStatus.DRAINING), 1_000_000_000L);
+        assertThat(mDirectory.find("a").orElseThrow().coldUntilNanos()).isEqualTo(3_000_000_000L);
+    }
+
+    @Test
+    void agesOfPassedOnRecordsDoNotShortenColdTimes() {
+        ServerRecord relayed =
+                record("a", "x", 1, 1, ServerStatus.SERVING).toBuilder()
+                        .setAgeMillis(700)
+                        .setColdLeftMillis(3_000)
+                        .build();
+        mDirectory.merge(relayed, 0);
+        assertThat(mDirectory.find("a").orElseThrow().toMessage(0).getColdLeftMillis())
+                .isEqualTo(3_000);
+    }
 }
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
@@ -73,7 +73,8 @@
                 ENGINES,
                 "chat",
                 1,
-                ImmutableList.of(new PromptPart(session, shared), new PromptPart(id, own)),
+                Prompt.of(
+                        ImmutableList.of(new PromptPart(session, shared), new PromptPart(id, own))),
                 shared + own,
                 100,
                 mNow,
@@ -88,7 +89,7 @@
                 BOOKING,
                 "book",
                 1,
-                ImmutableList.of(),
+                Prompt.of(ImmutableList.of()),
                 0,
                 0,
                 mNow,
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
@@ -15,18 +15,78 @@
     // Guards against reading the shared parts of a prompt again at every engine.
     @Test
     void requestsWithTheSameSharedPartsStayAtOneEngine() {
-        for (int i = 0; i < 6; i++) {
-            mScenario.server("e" + i, DispatchScenario.ENGINES, 64, 0);
-        }
+        sixEngines();
         for (int i = 0; i < 40; i++) {
             mScenario.submit(mScenario.prompt("r" + i, "a", "session", 5_000, 100));
             mScenario.mPlacements.forEach(Placement::end);
             mScenario.run(30);
         }
+        assertThat(mScenario.mPlaced).hasSize(40);
+        assertThat(engines()).hasSize(1);
+    }
+
+    // Guards against short shared parts that are read again wherever load is a little lower.
+    @Test
+    void shortSharedPartsStayAtTheirEngineWhileItHasRoom() {
+        sixEngines();
+        mScenario.submit(mScenario.prompt("first", "a", "subject", 500, 1_500));
+        for (int i = 0; i < 3; i++) {
+            mScenario.submit(mScenario.prompt("r" + i, "a", "subject", 500, 300));
+        }
+        assertThat(engines()).hasSize(1);
+        assertThat(engines()).hasSize(1);
+    }
+
+    // Guards against gateways that each spread the overflow of an engine over all the others.
+    @Test
+    void whatAnEngineHasNoRoomForGoesToTheSameSecondEngineFromAllGateways() {
+        Set<String> engines = new HashSet<>();
+        for (int g = 0; g < 4; g++) {
+            DispatchScenario gateway = new DispatchScenario();
+            for (int i = 0; i < 6; i++) {
+                gateway.server("e" + i, DispatchScenario.ENGINES, 64, 0);
+            }
+            for (int i = 0; i < 2; i++) {
+                String id = "g" + g + "-" + i;
+                gateway.submit(gateway.prompt(id, "a", "subject", 5_000, 100));
+            }
+            gateway.run(300);
+            gateway.mPlaced.forEach(p -> engines.add(p.substring(p.indexOf('@'))));
+        }
+        assertThat(engines).hasSize(2);
+    }
+
+    // Guards against an engine that turns its own requests away for the overflow of another.
+    @Test
+    void theOverflowOfOneEngineLeavesRoomForTheRequestsOfTheOthers() {
+        sixEngines();
+        for (int i = 0; i < 200; i++) {
+            mScenario.submit(mScenario.prompt("r" + i, "a", "subject", 1_200, 300));
+        }
+        mScenario.run(300);
+        int overflow = mScenario.mPlaced.size();
+        for (int i = 0; i < 60; i++) {
+            mScenario.submit(mScenario.prompt("o" + i, "b" + i, "other" + i, 1_200, 300));
+        }
+        mScenario.run(10);
+        Set<String> own = new HashSet<>();
+        mScenario.mPlaced.stream()
+                .filter(p -> p.startsWith("o"))
+                .forEach(p -> own.add(p.substring(p.indexOf('@'))));
+        assertThat(overflow).isGreaterThan(5);
+        assertThat(own).hasSize(5);
+    }
+
+    private void sixEngines() {
+        for (int i = 0; i < 6; i++) {
+            mScenario.server("e" + i, DispatchScenario.ENGINES, 64, 0);
+        }
+    }
+
+    private Set<String> engines() {
         Set<String> engines = new HashSet<>();
         mScenario.mPlaced.forEach(p -> engines.add(p.substring(p.indexOf('@'))));
-        assertThat(mScenario.mPlaced).hasSize(40);
-        assertThat(engines).hasSize(1);
+        return engines;
     }
 
     // Guards against prompts that queue at an engine, which serves in order of arrival.
