--- a/src/main/java/org/jacinthwharf/process/control/LoadRelay.java
+++ b/src/main/java/org/jacinthwharf/process/control/LoadRelay.java
@@ -16,32 +16,30 @@
  * Adds up what the gateways have running, and tells each the sum of the others.
  *
  * <p>Used on the event loop only. Invariant: a gateway without a link counts nothing. Cost is
- * linear in gateways times busy servers for each interval.
+ * linear in gateways times busy servers for each message that is passed on.
  */
 final class LoadRelay {
-    /** Load older than a few of these says little about engines that take thousands a second. */
-    private static final Duration INTERVAL = Duration.ofMillis(50);
+    /** Changes that arrive within this time are passed on together. */
+    private static final Duration COLLECT = Duration.ofMillis(10);
 
     private final EventLoop mLoop;
     private final Map<Link, GatewayLoad> mGateways = new LinkedHashMap<>();
     private final Map<String, OriginTotals> mTotals = new LinkedHashMap<>();
-    private boolean mChanged;
+    private boolean mScheduled;
 
     LoadRelay(EventLoop loop) {
         mLoop = loop;
     }
 
-    void start() {
-        mLoop.scheduleRepeatedly(INTERVAL, this::tick);
-    }
-
     void onUp(Link link) {
         mGateways.put(link, GatewayLoad.getDefaultInstance());
-        mChanged = true;
+        schedule();
     }
 
     void onDown(Link link) {
-        mChanged |= mGateways.remove(link) != null;
+        if (mGateways.remove(link) != null) {
+            schedule();
+        }
     }
 
     void onLoad(Link link, GatewayLoad load) {
@@ -54,15 +52,19 @@
                         load.getCustomers(),
                         (a, b) -> a.toBuilder().addAllTotals(b.getTotalsList()).build());
             }
-            mChanged = true;
+            schedule();
         }
     }
 
-    private void tick() {
-        if (!mChanged) {
-            return;
+    private void schedule() {
+        if (!mScheduled) {
+            mScheduled = true;
+            mLoop.schedule(COLLECT, this::passOn);
         }
-        mChanged = false;
+    }
+
+    private void passOn() {
+        mScheduled = false;
         Map<String, ServerLoad.Builder> total = new HashMap<>();
         mGateways.values().forEach(g -> g.getServersList().forEach(s -> add(total, s)));
         FleetLoad.Builder names = FleetLoad.newBuilder();
--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -128,7 +128,6 @@
         mLoop.scheduleRepeatedly(MEMBERS_INTERVAL, this::updateMembers);
         mLoop.scheduleRepeatedly(ConfigurationPublisher.INTERVAL, this::tick);
         mLoop.execute(mDirectory::start);
-        mLoop.execute(mLoad::start);
         if (mSettings.listen().http().isPresent()) {
             mHttp.listen(mSettings.listen().http().get().toSocketAddress());
         }
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -55,7 +55,7 @@
 public final class GatewayProcess implements GatewayServices {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration CALL_TICK = Duration.ofMillis(25);
-    private static final Duration LOAD_TICK = Duration.ofMillis(50);
+    private static final Duration LOAD_TICK = Duration.ofMillis(20);
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final int ACCEPT_QUEUE = 1_024;
 
@@ -310,7 +310,10 @@
                     mControl.send(member, DirectoryMessages.ack(update.getNumber()));
                     place();
                 }
-                case FLEET_LOAD -> mLoad.onFleetLoad(member, message.getFleetLoad());
+                case FLEET_LOAD -> {
+                    mLoad.onFleetLoad(member, message.getFleetLoad());
+                    place();
+                }
                 default ->
                         LOGGER.atFine().log(
                                 "event=message_ignored from=%s payload=%s",
--- a/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
@@ -26,7 +26,7 @@
  */
 final class LoadExchange {
     /** Totals move slower than load. */
-    static final int TICKS_PER_TOTALS = 4;
+    static final int TICKS_PER_TOTALS = 10;
 
     private final ServerBoard mBoard;
     private final ControlContacts mControl;
--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -32,6 +32,7 @@
     private long mUnreadTokens;
     private long mHeldTokens;
     private ServerLoad mOthers = ServerLoad.getDefaultInstance();
+    private long mLastUnreadNanos = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mEjectionNanos = FIRST_EJECTION_NANOS;
     private long mEjectedUntilNanos = Long.MIN_VALUE;
@@ -125,6 +126,18 @@
         return mUnreadTokens + mOthers.getUnreadTokens();
     }
 
+    /** Takes note whether prompts wait to be read there. */
+    void observe(long nowNanos) {
+        if (unreadOfAll() > 0) {
+            mLastUnreadNanos = nowNanos;
+        }
+    }
+
+    /** Returns when prompts were last seen to wait there. */
+    long lastUnreadNanos() {
+        return mLastUnreadNanos;
+    }
+
     /** Returns the tokens that requests of all gateways hold there. */
     long heldOfAll() {
         return mHeldTokens + mOthers.getHeldTokens();
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -244,6 +244,7 @@
         List<BackendServer> usable = new ArrayList<>();
         List<BackendServer> ejected = new ArrayList<>();
         for (BackendServer s : mBoard.ofService(request.service())) {
+            s.observe(nowNanos);
             if (mHealth.isHeard(s, nowNanos) && mCold.allows(s, goals.service(), nowNanos)) {
                 (s.isEjected(nowNanos) ? ejected : usable).add(s);
             }
@@ -256,7 +257,8 @@
         List<BackendServer> allowed = mVersions.allowed(request, usable, !excluded.isEmpty());
         double ahead = mLedger.aheadOfBacklog(request.customer());
         return mChoice.choose(
-                        new ServerChoice.Question(request, goals, ahead, anywhere, excluded),
+                        new ServerChoice.Question(
+                                request, goals, ahead, anywhere, excluded, nowNanos),
                         reading(request.service()),
                         allowed)
                 .map(s -> placement(request, goals, s, nowNanos));
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -66,6 +66,12 @@
 
     private static final double LEAST_WINDOW = 8_000;
 
+    /** Below this part of the room, a customer is far ahead of one that waits. */
+    private static final double AHEAD_SHARE = 0.25;
+
+    /** Several times what it takes until all gateways know of a request that was sent. */
+    private static final long LONGEST_AHEAD_WAIT_NANOS = 100_000_000L;
+
     /**
      * Requests in the queue of a plain server, for each slot, so that no slot idles a round trip.
      */
@@ -88,13 +94,15 @@
      * @param aheadTokens service that the customer received beyond a customer that waits
      * @param anywhere whether the request may go where its shared parts have to be read again
      * @param excluded ids of servers that this request was sent to before
+     * @param nowNanos current time
      */
     record Question(
             DispatchRequest request,
             ServiceGoals goals,
             double aheadTokens,
             boolean anywhere,
-            Set<String> excluded) {}
+            Set<String> excluded,
+            long nowNanos) {}
 
     /**
      * Returns the best of the servers that have room.
@@ -205,6 +213,9 @@
         if (waitMillis > READING_PART * q.goals().objectiveMillis() * share(q) * part) {
             return false;
         }
+        if (share(q) < AHEAD_SHARE && q.nowNanos() - s.lastUnreadNanos() < aheadWait(s)) {
+            return false;
+        }
         boolean fits =
                 s.heldOfAll() + q.request().ownTokens() <= CACHE_PART * service.getCacheTokens()
                         || s.runningOfAll() == 0;
@@ -221,6 +232,16 @@
         return 1 / (1 + q.aheadTokens() / window);
     }
 
+    /**
+     * Returns how long an engine has to be without unread prompts before it takes those of a
+     * customer that is far ahead. All gateways see at the same moment that an engine has read its
+     * prompts; each waits for a time of its own, and then sees what the first one sent.
+     */
+    private static long aheadWait(BackendServer s) {
+        long draw = Rendezvous.weight(s.hash(), s.lastUnreadNanos()) >>> 1;
+        return draw % LONGEST_AHEAD_WAIT_NANOS;
+    }
+
     /** Returns the longest time to a first event that a choice allows, in milliseconds. */
     double mostMillis(ServiceGoals goals, ReadingModel reading) {
         return reading.millis(0) + READING_PART * goals.objectiveMillis();
