--- a/src/main/java/org/jacinthwharf/process/consensus/RaftCore.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftCore.java
@@ -65,7 +65,7 @@
         mEntries = new LeaderEntries(log, mWrites);
         mChanges = new MembershipChanges(settings, log);
         mCommit = log.snapshotIndex();
-        mDeadlineNanos = nowNanos + RaftTimings.followerWait(random);
+        mDeadlineNanos = nowNanos + RaftTimings.firstWait(random);
         mJoinNanos = nowNanos;
     }
 
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
@@ -28,8 +28,17 @@
     private static final long CANDIDATE_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(250);
     private static final long CANDIDATE_SPREAD = TimeUnit.MILLISECONDS.toNanos(200);
 
+    // After a start no leader has been heard, and a vote before the vote keeps a living one.
+    private static final long FIRST_WAIT = TimeUnit.MILLISECONDS.toNanos(200);
+    private static final long FIRST_SPREAD = TimeUnit.MILLISECONDS.toNanos(200);
+
     private RaftTimings() {}
 
+    /** Returns how long a member waits for a leader after its start. */
+    static long firstWait(RandomGenerator random) {
+        return FIRST_WAIT + random.nextLong(FIRST_SPREAD);
+    }
+
     /** Returns how long a follower waits for a leader. */
     static long followerWait(RandomGenerator random) {
         return ELECTION_TIMEOUT + random.nextLong(ELECTION_SPREAD);
--- a/src/test/java/org/jacinthwharf/process/consensus/RaftRecoveryTest.java
+++ b/src/test/java/org/jacinthwharf/process/consensus/RaftRecoveryTest.java
@@ -12,6 +12,8 @@
 /** Guards against lost commands, second groups and disturbed leaders after single faults (G11). */
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 final class RaftRecoveryTest {
+    private static final int SEEDS = 40;
+
     private final SimulatedGroup mGroup = SimulatedGroup.started(11, "a", "b", "c");
 
     private void repair(String vm) {
@@ -139,4 +141,42 @@
         assertThat(mGroup.mAcknowledged.size()).isAtLeast(1_000);
         assertThat(m.mReplayed).isLessThan(RaftNode.SNAPSHOT_ENTRIES);
     }
+
+    // Guards against a fleet that stands still for an election timeout after a loss of power.
+    @Test
+    void aGroupThatLostPowerElectsWithinOneSecond() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SimulatedGroup g = SimulatedGroup.started(seed, "a", "b", "c");
+            g.commitOne();
+            g.mMembers.values().forEach(Member::crash);
+            g.run(Duration.ofSeconds(1));
+            g.mMembers.values().forEach(Member::start);
+            long start = g.mNowNanos;
+            g.runUntil("leader", () -> g.leader().isPresent());
+            assertWithMessage("seed %s", seed)
+                    .that(Duration.ofNanos(g.mNowNanos - start))
+                    .isLessThan(Duration.ofSeconds(1));
+            g.healAndCheckAcknowledged();
+        }
+    }
+
+    // Guards against restarts that cost the group its leader.
+    @Test
+    void aMemberThatRestartsDoesNotDisturbTheLeader() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SimulatedGroup g = SimulatedGroup.started(seed, "a", "b", "c");
+            g.healAndCheckAcknowledged();
+            Member leader = g.leader().orElseThrow();
+            long term = leader.status().term();
+            Member other = g.mMembers.get(leader.mVm.equals("c") ? "b" : "c");
+            other.crash();
+            g.run(Duration.ofMillis(300));
+            other.start();
+            g.run(Duration.ofSeconds(5));
+            assertWithMessage("seed %s", seed)
+                    .that(leader.status().role())
+                    .isEqualTo(LogStatus.Role.LEADER);
+            assertThat(leader.status().term()).isEqualTo(term);
+        }
+    }
 }
