--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -307,7 +307,7 @@
             mPlacement.server().onFailure(now());
             onServerError(status);
         } else {
-            mPlacement.server().onSuccess();
+            mPlacement.server().onSuccess(now());
             releasePlace(Optional.of(true));
             if (mStreaming && !isSuccess()) {
                 breakOff("status " + status);
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -56,6 +56,7 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration CALL_TICK = Duration.ofMillis(25);
     private static final Duration LOAD_TICK = Duration.ofMillis(20);
+    private static final Duration JUDGE_TICK = Duration.ofMillis(250);
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final int ACCEPT_QUEUE = 1_024;
 
@@ -192,6 +193,7 @@
         mLoop.execute(mControl::open);
         mLoop.scheduleRepeatedly(CALL_TICK, this::tickCalls);
         mLoop.scheduleRepeatedly(LOAD_TICK, this::tickLoad);
+        mLoop.scheduleRepeatedly(JUDGE_TICK, () -> mDispatcher.judgeServers(mLoop.nowNanos()));
         mLoop.scheduleRepeatedly(SECOND, this::tickSecond);
         LOGGER.atInfo().log(
                 "event=gateway_started vm=%s incarnation=%d failure_domain=%s seeds=%s",
--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -16,6 +16,12 @@
     private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
     private static final long LONGEST_EJECTION_NANOS = 8_000_000_000L;
 
+    /** A server that was not left out for this long starts again with a short time. */
+    private static final long EJECTION_FORGOTTEN_NANOS = 10_000_000_000L;
+
+    /** Answers of this time are compared with those of the other servers. */
+    private static final long ANSWERS_WINDOW_NANOS = 4_000_000_000L;
+
     /** Part of an engine's cache that this gateway's prompts are expected to find kept. */
     private static final double KEPT_PART = 0.3;
 
@@ -33,9 +39,11 @@
     private long mHeldTokens;
     private ServerLoad mOthers = ServerLoad.getDefaultInstance();
     private long mLastUnreadNanos = Long.MIN_VALUE / 2;
+    private SlidingCount mAnswers = new SlidingCount(ANSWERS_WINDOW_NANOS);
+    private SlidingCount mFailedAnswers = new SlidingCount(ANSWERS_WINDOW_NANOS);
     private int mFailures;
     private long mEjectionNanos = FIRST_EJECTION_NANOS;
-    private long mEjectedUntilNanos = Long.MIN_VALUE;
+    private long mEjectedUntilNanos = Long.MIN_VALUE / 2;
     private PromptMemory mPrompts = new PromptMemory(0);
     private long mCacheTokens;
 
@@ -179,18 +187,43 @@
     }
 
     /** Takes note of an answer that was not a failure. */
-    public void onSuccess() {
+    public void onSuccess(long nowNanos) {
         mFailures = 0;
-        mEjectionNanos = FIRST_EJECTION_NANOS;
+        mAnswers.add(nowNanos);
     }
 
     /** Takes note of a failure; several in a row leave the server out for a growing time. */
     public void onFailure(long nowNanos) {
         mFailures++;
-        if (mFailures >= FAILURES_TO_EJECT && nowNanos >= mEjectedUntilNanos) {
-            mEjectedUntilNanos = nowNanos + mEjectionNanos;
-            mEjectionNanos = Math.min(LONGEST_EJECTION_NANOS, 2 * mEjectionNanos);
+        mAnswers.add(nowNanos);
+        mFailedAnswers.add(nowNanos);
+        if (mFailures >= FAILURES_TO_EJECT) {
+            eject(nowNanos);
+        }
+    }
+
+    /** Leaves the server out for a while; what it answered before no longer counts. */
+    void eject(long nowNanos) {
+        if (isEjected(nowNanos)) {
+            return;
         }
+        if (nowNanos - mEjectedUntilNanos > EJECTION_FORGOTTEN_NANOS) {
+            mEjectionNanos = FIRST_EJECTION_NANOS;
+        }
+        mEjectedUntilNanos = nowNanos + mEjectionNanos;
+        mEjectionNanos = Math.min(LONGEST_EJECTION_NANOS, 2 * mEjectionNanos);
+        mAnswers = new SlidingCount(ANSWERS_WINDOW_NANOS);
+        mFailedAnswers = new SlidingCount(ANSWERS_WINDOW_NANOS);
+    }
+
+    /** Returns the answers of the last seconds, failures among them. */
+    int answers(long nowNanos) {
+        return mAnswers.count(nowNanos);
+    }
+
+    /** Returns the failures among the answers of the last seconds. */
+    int failedAnswers(long nowNanos) {
+        return mFailedAnswers.count(nowNanos);
     }
 
     /** Leaves the server out at once: no connection was made, or another one has its address. */
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -284,6 +284,15 @@
                                 ahead, (firstNanos - nowNanos) / (double) MILLI_NANOS));
     }
 
+    /** Leaves out servers that fail far more often than their peers; call a few times a second. */
+    public void judgeServers(long nowNanos) {
+        mBoard.services()
+                .forEach(
+                        s ->
+                                PeerComparison.outliers(mBoard.ofService(s), nowNanos)
+                                        .forEach(o -> o.eject(nowNanos)));
+    }
+
     private ReadingModel reading(String service) {
         return mReading.computeIfAbsent(service, s -> new ReadingModel());
     }
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerBoard.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerBoard.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.jacinthwharf.wire.generated.ServerLoad;
 import org.jacinthwharf.wire.generated.ServerRecord;
 import org.jacinthwharf.wire.generated.ServerStatus;
@@ -56,6 +57,11 @@
         return mByService.getOrDefault(service, List.of());
     }
 
+    /** Returns the names of the services that have had servers. */
+    Set<String> services() {
+        return mByService.keySet();
+    }
+
     /** Returns all servers. */
     public ImmutableList<BackendServer> all() {
         return ImmutableList.copyOf(mServers.values());
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
@@ -179,6 +179,50 @@
         assertThat(actions.get(0)).isInstanceOf(DispatchAction.Refuse.class);
     }
 
+    // Guards against a server that fails part of its requests while it says that it is well.
+    @Test
+    void aServerThatFailsFarMoreOftenThanItsPeersIsLeftOutForTheTimeBeing() {
+        answerInTurn(Set.of("b1"));
+        mScenario.mDispatcher.judgeServers(mScenario.mNow);
+        for (int i = 0; i < 12; i++) {
+            mScenario.submit(mScenario.booking("r" + i));
+        }
+        assertThat(engines()).containsExactly("@b2", "@b3");
+        mScenario.mPlaced.clear();
+        mScenario.mPlacements.forEach(Placement::end);
+        mScenario.mNow += 2 * DispatchScenario.SECOND;
+        for (int i = 0; i < 12; i++) {
+            mScenario.submit(mScenario.booking("s" + i));
+        }
+        assertThat(engines()).containsExactly("@b1", "@b2", "@b3");
+    }
+
+    // Guards against blaming servers for what all of them have in common.
+    @Test
+    void serversThatAllFailAlikeAreAllKept() {
+        answerInTurn(Set.of("b1", "b2", "b3"));
+        mScenario.mDispatcher.judgeServers(mScenario.mNow);
+        for (int i = 0; i < 12; i++) {
+            mScenario.submit(mScenario.booking("r" + i));
+        }
+        assertThat(engines()).containsExactly("@b1", "@b2", "@b3");
+    }
+
+    /** Three servers answer ten requests each; the named ones fail four, never three in a row. */
+    private void answerInTurn(Set<String> failing) {
+        for (String id : List.of("b1", "b2", "b3")) {
+            mScenario.server(id, DispatchScenario.BOOKING, 6, 0);
+            BackendServer server = mScenario.mBoard.find(id).orElseThrow();
+            for (int i = 0; i < 10; i++) {
+                if (failing.contains(id) && i % 5 < 2) {
+                    server.onFailure(mScenario.mNow);
+                } else {
+                    server.onSuccess(mScenario.mNow);
+                }
+            }
+        }
+    }
+
     // Guards against a service that stops because every server failed a few times.
     @Test
     void ifMostServersFailTheyAreStillUsed() {
