--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -16,6 +16,9 @@
     private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
     private static final long LONGEST_EJECTION_NANOS = 8_000_000_000L;
 
+    /** A cut heals at some moment; until then each try costs one request a detour. */
+    private static final long LONGEST_UNREACHABLE_NANOS = 2_000_000_000L;
+
     /** A server that was not left out for this long starts again with a short time. */
     private static final long EJECTION_FORGOTTEN_NANOS = 10_000_000_000L;
 
@@ -41,6 +44,7 @@
     private long mLastUnreadNanos = Long.MIN_VALUE / 2;
     private SlidingCount mAnswers = new SlidingCount(ANSWERS_WINDOW_NANOS);
     private SlidingCount mFailedAnswers = new SlidingCount(ANSWERS_WINDOW_NANOS);
+    private boolean mUnreachable;
     private int mFailures;
     private long mEjectionNanos = FIRST_EJECTION_NANOS;
     private long mEjectedUntilNanos = Long.MIN_VALUE / 2;
@@ -189,12 +193,14 @@
     /** Takes note of an answer that was not a failure. */
     public void onSuccess(long nowNanos) {
         mFailures = 0;
+        mUnreachable = false;
         mAnswers.add(nowNanos);
     }
 
     /** Takes note of a failure; several in a row leave the server out for a growing time. */
     public void onFailure(long nowNanos) {
         mFailures++;
+        mUnreachable = false;
         mAnswers.add(nowNanos);
         mFailedAnswers.add(nowNanos);
         if (mFailures >= FAILURES_TO_EJECT) {
@@ -204,6 +210,10 @@
 
     /** Leaves the server out for a while; what it answered before no longer counts. */
     void eject(long nowNanos) {
+        eject(nowNanos, LONGEST_EJECTION_NANOS);
+    }
+
+    private void eject(long nowNanos, long longestNanos) {
         if (isEjected(nowNanos)) {
             return;
         }
@@ -211,7 +221,7 @@
             mEjectionNanos = FIRST_EJECTION_NANOS;
         }
         mEjectedUntilNanos = nowNanos + mEjectionNanos;
-        mEjectionNanos = Math.min(LONGEST_EJECTION_NANOS, 2 * mEjectionNanos);
+        mEjectionNanos = Math.min(longestNanos, 2 * mEjectionNanos);
         mAnswers = new SlidingCount(ANSWERS_WINDOW_NANOS);
         mFailedAnswers = new SlidingCount(ANSWERS_WINDOW_NANOS);
     }
@@ -228,8 +238,13 @@
 
     /** Leaves the server out at once: no connection was made, or another one has its address. */
     public void onUnreachable(long nowNanos) {
-        mFailures = Math.max(mFailures, FAILURES_TO_EJECT - 1);
-        onFailure(nowNanos);
+        mUnreachable = true;
+        eject(nowNanos, LONGEST_UNREACHABLE_NANOS);
+    }
+
+    /** Returns whether the last request sent there did not reach it. */
+    boolean isUnreachable() {
+        return mUnreachable;
     }
 
     boolean isEjected(long nowNanos) {
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -243,10 +243,15 @@
             long nowNanos) {
         List<BackendServer> usable = new ArrayList<>();
         List<BackendServer> ejected = new ArrayList<>();
+        List<BackendServer> unreachable = new ArrayList<>();
         for (BackendServer s : mBoard.ofService(request.service())) {
             s.observe(nowNanos);
             if (mHealth.isHeard(s, nowNanos) && mCold.allows(s, goals.service(), nowNanos)) {
-                (s.isEjected(nowNanos) ? ejected : usable).add(s);
+                if (!s.isEjected(nowNanos)) {
+                    usable.add(s);
+                } else {
+                    (s.isUnreachable() ? unreachable : ejected).add(s);
+                }
             }
         }
         // If most servers fail, the cause is hardly theirs; leaving them out would stop the
@@ -254,6 +259,9 @@
         if (usable.size() < ejected.size()) {
             usable.addAll(ejected);
         }
+        if (usable.isEmpty()) {
+            usable.addAll(unreachable);
+        }
         List<BackendServer> allowed = mVersions.allowed(request, usable, !excluded.isEmpty());
         double ahead = mLedger.aheadOfBacklog(request.customer());
         return mChoice.choose(
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
@@ -179,6 +179,21 @@
         assertThat(actions.get(0)).isInstanceOf(DispatchAction.Refuse.class);
     }
 
+    // Guards against a gateway that is cut off from most servers and keeps trying to reach them.
+    @Test
+    void serversThatCannotBeReachedAreNotTriedWhileOthersAnswer() {
+        for (String id : List.of("b1", "b2", "b3")) {
+            mScenario.server(id, DispatchScenario.BOOKING, 6, 0);
+        }
+        for (String id : List.of("b2", "b3")) {
+            mScenario.mBoard.find(id).orElseThrow().onUnreachable(mScenario.mNow);
+        }
+        for (int i = 0; i < 12; i++) {
+            mScenario.submit(mScenario.booking("r" + i));
+        }
+        assertThat(engines()).containsExactly("@b1");
+    }
+
     // Guards against a server that fails part of its requests while it says that it is well.
     @Test
     void aServerThatFailsFarMoreOftenThanItsPeersIsLeftOutForTheTimeBeing() {
