--- a/src/test/java/org/jacinthwharf/process/control/ManualLoop.java
+++ b/src/test/java/org/jacinthwharf/process/control/ManualLoop.java
@@ -1,12 +1,15 @@
 package org.jacinthwharf.process.control;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.jacinthwharf.process.loop.EventLoop;
 
 /** Runs tasks at once on the calling thread; time moves only when a test says so. */
 final class ManualLoop implements EventLoop {
     long mNowNanos = 1_000_000_000L;
     long mNowMillis = 1_000_000L;
+    final List<Runnable> mScheduled = new ArrayList<>();
 
     void advance(Duration duration) {
         mNowNanos += duration.toNanos();
@@ -19,7 +22,16 @@
     }
 
     @Override
-    public void schedule(Duration delay, Runnable task) {}
+    public void schedule(Duration delay, Runnable task) {
+        mScheduled.add(task);
+    }
+
+    /** Runs what was scheduled once, whatever its delay. */
+    void runScheduled() {
+        List<Runnable> tasks = List.copyOf(mScheduled);
+        mScheduled.clear();
+        tasks.forEach(Runnable::run);
+    }
 
     @Override
     public void scheduleRepeatedly(Duration period, Runnable task) {}
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
@@ -19,8 +19,8 @@
     static final String BOOKING = "booking";
 
     final ServerBoard mBoard = new ServerBoard();
-    final ServiceLedger mLedger = new ServiceLedger("g1/1", SECOND / 5);
-    final ColdPermits mCold = new ColdPermits("g1");
+    final ServiceLedger mLedger;
+    final ColdPermits mCold;
     final DispatchHealth mHealth = new DispatchHealth(SECOND);
     final Dispatcher<String> mDispatcher;
     final List<String> mPlaced = new ArrayList<>();
@@ -29,6 +29,12 @@
     long mNow = 100 * SECOND;
 
     DispatchScenario() {
+        this("g1", 1);
+    }
+
+    DispatchScenario(String gateway, long seed) {
+        mLedger = new ServiceLedger(gateway + "/1", SECOND / 5);
+        mCold = new ColdPermits(gateway);
         Service engines =
                 Service.newBuilder()
                         .setName(ENGINES)
@@ -49,7 +55,7 @@
                                 name.equals(ENGINES)
                                         ? Optional.of(new ServiceGoals(engines, 400, 200_000))
                                         : Optional.of(new ServiceGoals(booking, 200, 0)),
-                        new SplittableRandom(1));
+                        new SplittableRandom(seed));
     }
 
     void server(String id, String service, int slots, long coldMillis) {
@@ -108,7 +114,7 @@
         }
     }
 
-    private void note(List<DispatchAction<String>> actions) {
+    void note(List<DispatchAction<String>> actions) {
         for (DispatchAction<String> a : actions) {
             if (a instanceof DispatchAction.Place<String> p) {
                 mPlaced.add(p.call() + "@" + p.placement().server().id());
