--- a/src/main/java/org/jacinthwharf/request/dispatch/SlidingCount.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/SlidingCount.java
@@ -17,13 +17,23 @@
 
     void add(long nowNanos) {
         mTimes.addLast(nowNanos);
+        forget(nowNanos);
+    }
+
+    /** Returns the number of events in memory. */
+    int held() {
+        return mTimes.size();
     }
 
     /** Returns the number of events in the window that ends now. */
     int count(long nowNanos) {
+        forget(nowNanos);
+        return mTimes.size();
+    }
+
+    private void forget(long nowNanos) {
         while (!mTimes.isEmpty() && nowNanos - mTimes.getFirst() > mWindowNanos) {
             mTimes.removeFirst();
         }
-        return mTimes.size();
     }
 }
