--- a/src/main/java/org/jacinthwharf/connection/HttpEndpoint.java
+++ b/src/main/java/org/jacinthwharf/connection/HttpEndpoint.java
@@ -108,12 +108,10 @@
                 write(context, HttpAnswer.text(400, "malformed request\n"));
                 return;
             }
-            String uri = request.uri();
-            int query = uri.indexOf('?');
             HttpCall call =
                     new HttpCall(
                             request.method().name(),
-                            query < 0 ? uri : uri.substring(0, query),
+                            HttpCall.pathOf(request.uri()),
                             ByteBufUtil.getBytes(request.content()));
             mService.apply(call)
                     .whenComplete(
--- a/src/main/java/org/jacinthwharf/process/control/MemberContacts.java
+++ b/src/main/java/org/jacinthwharf/process/control/MemberContacts.java
@@ -13,21 +13,22 @@
  * <p>Used on the event loop only. Invariant: a VM that is neither a seed nor a member is not tried
  * again once its link has closed.
  */
-final class MemberContacts {
+public final class MemberContacts {
     private final NodeSettings mSettings;
     private final Links mLinks;
     private final LinkListener mListener;
     private final TreeSet<VmId> mWanted = new TreeSet<>();
     private final TreeSet<VmId> mTried = new TreeSet<>();
 
-    MemberContacts(NodeSettings settings, Links links, LinkListener listener) {
+    /** Creates contacts that want nobody. */
+    public MemberContacts(NodeSettings settings, Links links, LinkListener listener) {
         mSettings = settings;
         mLinks = links;
         mListener = listener;
     }
 
     /** Sets the VMs to keep links to. */
-    void want(Collection<VmId> vms) {
+    public void want(Collection<VmId> vms) {
         mWanted.clear();
         mWanted.addAll(vms);
         mWanted.remove(mSettings.self());
--- a/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallIntake.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.jacinthwharf.connection.HttpCall;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.request.dispatch.DispatchRequest;
@@ -75,7 +76,7 @@
             return refuse(request, caller, head, RefusalReason.NOT_READY, NOT_READY_RETRY_MILLIS);
         }
         String host = request.headers().get(HttpHeaderNames.HOST, "");
-        Optional<Route> route = routes.get().find(host, path(request.uri()));
+        Optional<Route> route = routes.get().find(host, HttpCall.pathOf(request.uri()));
         if (route.isEmpty()) {
             return refuse(request, caller, head, RefusalReason.UNKNOWN_PATH, 0);
         }
@@ -144,11 +145,6 @@
         throw new IllegalStateException("shares of " + route.getName() + " do not add up");
     }
 
-    private static String path(String uri) {
-        int query = uri.indexOf('?');
-        return query < 0 ? uri : uri.substring(0, query);
-    }
-
     private CallerConnection.CallerLeft refuse(
             FullHttpRequest request,
             CallerConnection caller,
@@ -160,7 +156,7 @@
                 head.requestId(),
                 reason.code(),
                 request.headers().get(HttpHeaderNames.HOST, ""),
-                path(request.uri()));
+                HttpCall.pathOf(request.uri()));
         request.release();
         mProcess.metrics().countRefusal(reason);
         FullHttpResponse answer =
--- a/src/main/java/org/jacinthwharf/process/gateway/ControlContacts.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ControlContacts.java
@@ -1,16 +1,17 @@
 package org.jacinthwharf.process.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jacinthwharf.connection.Link;
 import org.jacinthwharf.connection.LinkListener;
 import org.jacinthwharf.connection.Links;
 import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.control.MemberContacts;
 import org.jacinthwharf.process.settings.NodeSettings;
 import org.jacinthwharf.wire.generated.Envelope;
 
@@ -33,17 +34,16 @@
     }
 
     private final NodeSettings mSettings;
-    private final Links mLinks;
     private final Listener mListener;
-    private final TreeSet<VmId> mWanted = new TreeSet<>();
-    private final TreeSet<VmId> mSeeds = new TreeSet<>();
-    private final TreeSet<VmId> mTried = new TreeSet<>();
+    private final MemberContacts mContacts;
+    private List<VmId> mMembers = List.of();
+    private List<VmId> mSeeds = List.of();
     private final Map<VmId, Link> mUp = new TreeMap<>();
 
     ControlContacts(NodeSettings settings, Links links, Listener listener) {
         mSettings = settings;
-        mLinks = links;
         mListener = listener;
+        mContacts = new MemberContacts(settings, links, this);
     }
 
     /** Opens links to the seeds. */
@@ -53,35 +53,20 @@
 
     /** Replaces the seeds. */
     void setSeeds(List<VmId> seeds) {
-        mSeeds.clear();
-        mSeeds.addAll(seeds);
-        openAll();
+        mSeeds = seeds;
+        wantAll();
     }
 
     /** Takes the list of members that one of them sent. */
     void setMembers(List<VmId> members) {
-        mWanted.clear();
-        mWanted.addAll(members);
-        openAll();
+        mMembers = members;
+        wantAll();
     }
 
-    private void openAll() {
-        List<VmId> all = new ArrayList<>(mSeeds);
-        all.addAll(mWanted);
-        for (VmId vm : all) {
-            if (mTried.add(vm)) {
-                mLinks.keepOpen(
-                        mSettings.peerOf(vm).toSocketAddress(), this, () -> isStillWanted(vm));
-            }
-        }
-    }
-
-    private boolean isStillWanted(VmId vm) {
-        boolean wanted = mSeeds.contains(vm) || mWanted.contains(vm);
-        if (!wanted) {
-            mTried.remove(vm);
-        }
-        return wanted;
+    private void wantAll() {
+        Set<VmId> all = new TreeSet<>(mSeeds);
+        all.addAll(mMembers);
+        mContacts.want(all);
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
@@ -36,6 +36,7 @@
     private final ServiceLedger mLedger;
     private final EventLoop mLoop;
     private final Set<VmId> mOthers = new TreeSet<>();
+    private List<String> mGateways = List.of();
     private List<ServerLoad> mLastSent = List.of();
     private Optional<VmId> mLastRelay = Optional.empty();
     private long mSequence;
@@ -90,8 +91,7 @@
             return;
         }
         mBoard.setOthers(load.getServersList());
-        mCold.setGateways(load.getGatewaysList());
-        mBudget.setGateways(load.getGatewaysCount());
+        setGateways(load.getGatewaysList());
         if (load.getOriginsCount() > 0) {
             mLedger.merge(
                     ServiceTotals.newBuilder()
@@ -100,8 +100,18 @@
                             .build(),
                     mLoop.nowNanos());
         }
+    }
+
+    /** Takes the gateways that run, which change far less often than their load. */
+    private void setGateways(List<String> gateways) {
+        if (gateways.equals(mGateways)) {
+            return;
+        }
+        mGateways = List.copyOf(gateways);
+        mCold.setGateways(mGateways);
+        mBudget.setGateways(mGateways.size());
         mOthers.clear();
-        load.getGatewaysList().stream()
+        mGateways.stream()
                 .flatMap(g -> VmId.parse(g).stream())
                 .filter(g -> !g.equals(mSelf))
                 .forEach(mOthers::add);
--- a/src/main/java/org/jacinthwharf/process/metrics/AdminServer.java
+++ b/src/main/java/org/jacinthwharf/process/metrics/AdminServer.java
@@ -1,7 +1,5 @@
 package org.jacinthwharf.process.metrics;
 
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -16,6 +14,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.Callback;
+import org.jacinthwharf.connection.HttpAnswer;
 
 /**
  * Serves the admin port of a process: {@code /metrics}, {@code /live}, {@code /ready} and {@code
@@ -79,8 +78,7 @@
 
     private final class AdminHandler extends Handler.Abstract {
         @Override
-        public boolean handle(Request request, Response response, Callback callback)
-                throws IOException {
+        public boolean handle(Request request, Response response, Callback callback) {
             switch (Request.getPathInContext(request)) {
                 case "/metrics" -> metrics(response, callback);
                 case "/live" ->
@@ -100,12 +98,10 @@
         }
     }
 
-    private void metrics(Response response, Callback callback) throws IOException {
-        PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        writer.write(out, mMetrics.registry().scrape());
-        response.getHeaders().put(HttpHeader.CONTENT_TYPE, writer.getContentType());
-        response.write(true, ByteBuffer.wrap(out.toByteArray()), callback);
+    private void metrics(Response response, Callback callback) {
+        HttpAnswer answer = MetricsText.answer(mMetrics);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, answer.contentType());
+        response.write(true, ByteBuffer.wrap(answer.body()), callback);
     }
 
     private static void answerFromLoop(
--- a/src/main/java/org/jacinthwharf/request/dispatch/ColdPermits.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ColdPermits.java
@@ -1,6 +1,6 @@
 package org.jacinthwharf.request.dispatch;
 
-import com.google.common.collect.ImmutableSortedSet;
+import com.google.common.collect.ImmutableSortedMap;
 import java.util.Comparator;
 import java.util.List;
 import org.jacinthwharf.wire.generated.Service;
@@ -19,7 +19,9 @@
     private static final double USED_PART = 0.8;
 
     private final String mSelf;
-    private ImmutableSortedSet<String> mGateways = ImmutableSortedSet.of();
+
+    /** Hashes of the gateways by name. */
+    private ImmutableSortedMap<String, Long> mGateways = ImmutableSortedMap.of();
 
     /** Creates permits for a gateway that knows of no others, and sends nothing to cold servers. */
     public ColdPermits(String self) {
@@ -28,7 +30,12 @@
 
     /** Sets the gateways that share the rate of cold servers. */
     public void setGateways(List<String> gateways) {
-        mGateways = ImmutableSortedSet.copyOf(gateways);
+        mGateways =
+                gateways.stream()
+                        .distinct()
+                        .collect(
+                                ImmutableSortedMap.toImmutableSortedMap(
+                                        Comparator.naturalOrder(), g -> g, Rendezvous::hash));
     }
 
     /** Returns whether this gateway may send a request to the server now. */
@@ -44,14 +51,12 @@
         if (sharers == 0) {
             return 0;
         }
+        long key = Rendezvous.hash(server);
         int rank =
-                mGateways.stream()
+                mGateways.keySet().stream()
                         .sorted(
                                 Comparator.comparingLong(
-                                        (String g) ->
-                                                Rendezvous.weight(
-                                                        Rendezvous.hash(server),
-                                                        Rendezvous.hash(g))))
+                                        g -> Rendezvous.weight(key, mGateways.get(g))))
                         .toList()
                         .indexOf(mSelf);
         if (rank < 0 || rank >= sharers) {
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -114,7 +114,14 @@
         }
         WaitingRequests<R> queue = queue(request.service());
         if (repeat || queue.size() == 0) {
-            Optional<Placement> placed = place(request, service.get(), excluded, repeat, nowNanos);
+            Optional<Placement> placed =
+                    place(
+                            request,
+                            service.get(),
+                            excluded,
+                            repeat,
+                            candidates(service.get(), nowNanos),
+                            nowNanos);
             if (placed.isPresent()) {
                 queue.noteStart(nowNanos);
                 return ImmutableList.of(new DispatchAction.Place<>(call, placed.get()));
@@ -205,6 +212,8 @@
         boolean placed = service.isPresent();
         while (placed && queue.size() > 0) {
             placed = false;
+            // Only a placement changes what the others may choose from.
+            List<BackendServer> candidates = candidates(service.get(), nowNanos);
             for (var head : queue.heads(nowNanos)) {
                 Optional<Placement> place =
                         place(
@@ -212,6 +221,7 @@
                                 service.get(),
                                 head.excluded(),
                                 mayGoAnywhere(head, nowNanos),
+                                candidates,
                                 nowNanos);
                 if (place.isPresent()) {
                     queue.started(head, nowNanos);
@@ -235,16 +245,12 @@
         return nowNanos - arrival > (behind ? Math.min(wait, NEAR_BEHIND_NANOS) : wait);
     }
 
-    private Optional<Placement> place(
-            DispatchRequest request,
-            ServiceGoals goals,
-            Set<String> excluded,
-            boolean anywhere,
-            long nowNanos) {
+    /** Returns the servers of a service that may be sent to now, whatever their load. */
+    private List<BackendServer> candidates(ServiceGoals goals, long nowNanos) {
         List<BackendServer> usable = new ArrayList<>();
         List<BackendServer> ejected = new ArrayList<>();
         List<BackendServer> unreachable = new ArrayList<>();
-        for (BackendServer s : mBoard.ofService(request.service())) {
+        for (BackendServer s : mBoard.ofService(goals.service().getName())) {
             s.observe(nowNanos);
             if (mHealth.isHeard(s, nowNanos) && mCold.allows(s, goals.service(), nowNanos)) {
                 if (!s.isEjected(nowNanos)) {
@@ -259,10 +265,17 @@
         if (usable.size() < ejected.size()) {
             usable.addAll(ejected);
         }
-        if (usable.isEmpty()) {
-            usable.addAll(unreachable);
-        }
-        List<BackendServer> allowed = mVersions.allowed(request, usable, !excluded.isEmpty());
+        return usable.isEmpty() ? unreachable : usable;
+    }
+
+    private Optional<Placement> place(
+            DispatchRequest request,
+            ServiceGoals goals,
+            Set<String> excluded,
+            boolean anywhere,
+            List<BackendServer> candidates,
+            long nowNanos) {
+        List<BackendServer> allowed = mVersions.allowed(request, candidates, !excluded.isEmpty());
         double ahead = mLedger.aheadOfBacklog(request.customer());
         return mChoice.choose(
                         new ServerChoice.Question(
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -128,12 +128,13 @@
             Question q, ReadingModel reading, List<BackendServer> candidates) {
         Prompt prompt = q.request().prompt();
         Homes homes = Homes.of(prompt, candidates);
+        double share = share(q);
         return cheapest(
                 candidates,
                 s -> {
                     boolean idle = s.runningOfAll() < IDLE_PART * s.slots();
                     boolean mayEnter = q.anywhere() || idle || homes.isKept(prompt, s);
-                    return mayEnter && hasRoom(q, reading, s, homes.roomPart(prompt, s));
+                    return mayEnter && hasRoom(q, reading, s, share, homes.roomPart(prompt, s));
                 },
                 s -> engineCost(q.request(), s, homes));
     }
@@ -205,15 +206,16 @@
         }
     }
 
-    private static boolean hasRoom(Question q, ReadingModel reading, BackendServer s, double part) {
+    private static boolean hasRoom(
+            Question q, ReadingModel reading, BackendServer s, double share, double part) {
         Service service = q.goals().service();
         // The same bound for all sizes of prompts: a bound that counts the prompt itself would let
         // small ones keep an engine so busy that large ones never get in.
         double waitMillis = reading.slope() * s.unreadOfAll();
-        if (waitMillis > READING_PART * q.goals().objectiveMillis() * share(q) * part) {
+        if (waitMillis > READING_PART * q.goals().objectiveMillis() * share * part) {
             return false;
         }
-        if (share(q) < AHEAD_SHARE && q.nowNanos() - s.lastUnreadNanos() < aheadWait(s)) {
+        if (share < AHEAD_SHARE && q.nowNanos() - s.lastUnreadNanos() < aheadWait(s)) {
             return false;
         }
         boolean fits =
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.request.admission.ServiceLedger;
 import org.jacinthwharf.wire.generated.ServerRecord;
@@ -114,6 +116,20 @@
         }
     }
 
+    void engines(int count) {
+        for (int i = 0; i < count; i++) {
+            server("e" + i, ENGINES, 64, 0);
+        }
+    }
+
+    /** Returns the servers that got the requests whose ids start in this way. */
+    Set<String> serversOf(String prefix) {
+        return mPlaced.stream()
+                .filter(p -> p.startsWith(prefix))
+                .map(p -> p.substring(p.indexOf('@')))
+                .collect(Collectors.toSet());
+    }
+
     void note(List<DispatchAction<String>> actions) {
         for (DispatchAction<String> a : actions) {
             if (a instanceof DispatchAction.Place<String> p) {
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
@@ -15,26 +15,26 @@
     // Guards against reading the shared parts of a prompt again at every engine.
     @Test
     void requestsWithTheSameSharedPartsStayAtOneEngine() {
-        sixEngines();
+        mScenario.engines(6);
         for (int i = 0; i < 40; i++) {
             mScenario.submit(mScenario.prompt("r" + i, "a", "session", 5_000, 100));
             mScenario.mPlacements.forEach(Placement::end);
             mScenario.run(30);
         }
         assertThat(mScenario.mPlaced).hasSize(40);
-        assertThat(engines()).hasSize(1);
+        assertThat(mScenario.serversOf("")).hasSize(1);
     }
 
     // Guards against short shared parts that are read again wherever load is a little lower.
     @Test
     void shortSharedPartsStayAtTheirEngineWhileItHasRoom() {
-        sixEngines();
+        mScenario.engines(6);
         mScenario.submit(mScenario.prompt("first", "a", "subject", 500, 1_500));
         for (int i = 0; i < 3; i++) {
             mScenario.submit(mScenario.prompt("r" + i, "a", "subject", 500, 300));
         }
-        assertThat(engines()).hasSize(1);
-        assertThat(engines()).hasSize(1);
+        assertThat(mScenario.serversOf("")).hasSize(1);
+        assertThat(mScenario.serversOf("")).hasSize(1);
     }
 
     // Guards against gateways that each spread the overflow of an engine over all the others.
@@ -43,15 +43,13 @@
         Set<String> engines = new HashSet<>();
         for (int g = 0; g < 4; g++) {
             DispatchScenario gateway = new DispatchScenario();
-            for (int i = 0; i < 6; i++) {
-                gateway.server("e" + i, DispatchScenario.ENGINES, 64, 0);
-            }
+            gateway.engines(6);
             for (int i = 0; i < 2; i++) {
                 String id = "g" + g + "-" + i;
                 gateway.submit(gateway.prompt(id, "a", "subject", 5_000, 100));
             }
             gateway.run(300);
-            gateway.mPlaced.forEach(p -> engines.add(p.substring(p.indexOf('@'))));
+            engines.addAll(gateway.serversOf(""));
         }
         assertThat(engines).hasSize(2);
     }
@@ -59,7 +57,7 @@
     // Guards against an engine that turns its own requests away for the overflow of another.
     @Test
     void theOverflowOfOneEngineLeavesRoomForTheRequestsOfTheOthers() {
-        sixEngines();
+        mScenario.engines(6);
         for (int i = 0; i < 200; i++) {
             mScenario.submit(mScenario.prompt("r" + i, "a", "subject", 1_200, 300));
         }
@@ -69,24 +67,8 @@
             mScenario.submit(mScenario.prompt("o" + i, "b" + i, "other" + i, 1_200, 300));
         }
         mScenario.run(10);
-        Set<String> own = new HashSet<>();
-        mScenario.mPlaced.stream()
-                .filter(p -> p.startsWith("o"))
-                .forEach(p -> own.add(p.substring(p.indexOf('@'))));
         assertThat(overflow).isGreaterThan(5);
-        assertThat(own).hasSize(5);
-    }
-
-    private void sixEngines() {
-        for (int i = 0; i < 6; i++) {
-            mScenario.server("e" + i, DispatchScenario.ENGINES, 64, 0);
-        }
-    }
-
-    private Set<String> engines() {
-        Set<String> engines = new HashSet<>();
-        mScenario.mPlaced.forEach(p -> engines.add(p.substring(p.indexOf('@'))));
-        return engines;
+        assertThat(mScenario.serversOf("o")).hasSize(5);
     }
 
     // Guards against prompts that queue at an engine, which serves in order of arrival.
@@ -191,7 +173,7 @@
         for (int i = 0; i < 12; i++) {
             mScenario.submit(mScenario.booking("r" + i));
         }
-        assertThat(engines()).containsExactly("@b1");
+        assertThat(mScenario.serversOf("")).containsExactly("@b1");
     }
 
     // Guards against a server that fails part of its requests while it says that it is well.
@@ -202,14 +184,14 @@
         for (int i = 0; i < 12; i++) {
             mScenario.submit(mScenario.booking("r" + i));
         }
-        assertThat(engines()).containsExactly("@b2", "@b3");
+        assertThat(mScenario.serversOf("")).containsExactly("@b2", "@b3");
         mScenario.mPlaced.clear();
         mScenario.mPlacements.forEach(Placement::end);
         mScenario.mNow += 2 * DispatchScenario.SECOND;
         for (int i = 0; i < 12; i++) {
             mScenario.submit(mScenario.booking("s" + i));
         }
-        assertThat(engines()).containsExactly("@b1", "@b2", "@b3");
+        assertThat(mScenario.serversOf("")).containsExactly("@b1", "@b2", "@b3");
     }
 
     // Guards against blaming servers for what all of them have in common.
@@ -220,7 +202,7 @@
         for (int i = 0; i < 12; i++) {
             mScenario.submit(mScenario.booking("r" + i));
         }
-        assertThat(engines()).containsExactly("@b1", "@b2", "@b3");
+        assertThat(mScenario.serversOf("")).containsExactly("@b1", "@b2", "@b3");
     }
 
     /** Three servers answer ten requests each; the named ones fail four, never three in a row. */
--- a/src/test/java/org/jacinthwharf/request/dispatch/GatewayFairnessTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/GatewayFairnessTest.java
@@ -58,8 +58,8 @@
     private GatewayFairnessTest() {
         for (int g = 0; g < GATEWAYS; g++) {
             DispatchScenario gateway = new DispatchScenario("g" + g, g);
+            gateway.engines(ENGINES);
             for (int e = 0; e < ENGINES; e++) {
-                gateway.server("e" + e, DispatchScenario.ENGINES, 64, 0);
                 mEngines.put("e" + e, new Engine());
             }
             mGateways.add(gateway);
