Log the delays of a gateway: event loop, load exchange, bytes; size and lead of each call

The logs could not tell a full link from a full processor, nor a customer that is behind from one that is ahead. A gateway now logs every 5 s how late its timers ran, how long a load report takes to come back in the sums (FleetLoad.received_sequence), bodies in both directions, waiting requests and dispatch runs; the same as metrics. call_ended has the prompt's size and the customer's lead. No logic is changed.

--- a/src/main/java/org/jacinthwharf/process/control/LoadAggregator.java
+++ b/src/main/java/org/jacinthwharf/process/control/LoadAggregator.java
@@ -94,7 +94,7 @@
             GatewayLoad reported, Map<String, ServerLoad.Builder> sums, FleetLoad.Builder common) {
         Map<String, ServerLoad> ownLoads = new HashMap<>();
         reported.getServersList().forEach(s -> ownLoads.put(key(s), s));
-        FleetLoad.Builder load = common.clone();
+        FleetLoad.Builder load = common.clone().setReceivedSequence(reported.getSequence());
         sums.forEach(
                 (key, sum) -> {
                     ServerLoad own = ownLoads.getOrDefault(key, ServerLoad.getDefaultInstance());
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
@@ -71,6 +71,7 @@
             FullHttpRequest request, CallerConnection caller) {
         HeaderCodec.CallerHeaders callerHeaders =
                 mProcess.headerCodec().parseCallerHeaders(request.headers());
+        mProcess.activity().onRequest(request.content().readableBytes());
         if (mProcess.isRefusing()) {
             return refuse(
                     request, caller, callerHeaders, RefusalReason.DRAINING, DRAINING_RETRY_MILLIS);
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -237,6 +237,7 @@
 
     @Override
     public void onBody(ByteBuf data) {
+        mContext.activity().onAnswerBytes(data.readableBytes());
         if (mEnded || mServerHead == null) {
             return;
         }
@@ -550,14 +551,16 @@
         mContext.metrics().observeRequest(mRoute.getName(), outcome, seconds);
         LOGGER.atInfo().log(
                 "event=call_ended request=%s route=%s customer=%s service=%s outcome=%s"
-                        + " status=%d runs=%d turned_down=%d wait_ms=%d first_ms=%d total_ms=%d"
-                        + " servers=%s cause='%s'",
+                        + " status=%d prompt_tokens=%d lead_tokens=%.0f runs=%d turned_down=%d"
+                        + " wait_ms=%d first_ms=%d total_ms=%d servers=%s cause='%s'",
                 mCallerHeaders.requestId(),
                 mRoute.getName(),
                 mCustomer.orElse("-"),
                 mDispatch.service(),
                 outcome,
                 status,
+                mDispatch.promptTokens(),
+                mContext.leadTokens(mDispatch.customer()),
                 mFailedAttempts,
                 mNotRunAttempts,
                 millisSinceArrival(mSentNanos),
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.request.dispatch.BackendServer;
@@ -13,6 +14,8 @@
 
     FleetMetrics metrics();
 
+    GatewayActivity activity();
+
     HeaderCodec headerCodec();
 
     ServerPool pool();
@@ -41,6 +44,9 @@
     void onAttemptEnd(
             BackendServer server, DispatchRequest request, Optional<Boolean> success, long millis);
 
+    /** Returns the service of a customer beyond that of the least served backlogged customer. */
+    double leadTokens(CustomerId customer);
+
     /** Records that a call has ended. */
     void onEnd(ForwardedCall call);
 }
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -19,6 +19,7 @@
 import org.jacinthwharf.connection.HttpCall;
 import org.jacinthwharf.connection.HttpEndpoint;
 import org.jacinthwharf.connection.Links;
+import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.control.ConfigurationFollower;
@@ -78,8 +79,10 @@
     private final ServerTable mServerTable = new ServerTable();
     private final ColdPermits mColdPermits;
     private final DispatchHealth mHealth;
+    private final ServiceLedger mLedger;
     private final Dispatcher<ForwardedCall> mDispatcher;
     private final FleetRetryBudget mRetryBudget;
+    private final GatewayActivity mActivity;
     private final VersionDriver mVersionDriver;
     private final VersionSelector mVersionSelector;
     private final LoadExchange mLoadExchange;
@@ -91,6 +94,7 @@
     private final Set<CallerConnection> mCallers = new HashSet<>();
     private Channel mListener;
     private boolean mDispatchScheduled;
+    private long mLastCallTickNanos;
     private volatile boolean mDraining;
     private volatile boolean mRefusing;
 
@@ -127,7 +131,7 @@
                         loop);
         mVersionSelector = new VersionSelector(mConfiguration::model, mVersionDriver);
         SplittableRandom random = new SplittableRandom(mSelf.hashCode() ^ loop.nowNanos());
-        ServiceLedger ledger =
+        mLedger =
                 new ServiceLedger(
                         mSelf.toString(), LOAD_TICK.toNanos() * LoadExchange.TICKS_PER_TOTALS);
         mDispatcher =
@@ -136,7 +140,7 @@
                         settings.failureDomain(),
                         mColdPermits,
                         mHealth,
-                        ledger,
+                        mLedger,
                         mVersionSelector,
                         mConfiguration::serviceObjectives,
                         random);
@@ -145,6 +149,7 @@
                         settings.bounds().retryRatio(),
                         settings.bounds().retrySlack(),
                         millisToNanos(settings.bounds().retryWindowMillis()));
+        mActivity = new GatewayActivity(metrics, loop.nowNanos());
         mLoadExchange =
                 new LoadExchange(
                         mServerTable,
@@ -152,8 +157,9 @@
                         mColdPermits,
                         mRetryBudget,
                         settings.self(),
-                        ledger,
-                        loop);
+                        mLedger,
+                        loop,
+                        mActivity);
         mPool = new ServerPool(loop.group(), loop, metrics);
         mRequestHandler = new CallerRequestHandler(mConfiguration, mRetryBudget, random, this);
         mReadyEndpoint = new HttpEndpoint(loop.group(), this::answerReady);
@@ -205,6 +211,7 @@
             mMetricsEndpoint.listen(mSettings.listen().metrics().get().toSocketAddress());
         }
         mLoop.execute(mControlLinks::open);
+        mLastCallTickNanos = mLoop.nowNanos();
         mLoop.scheduleRepeatedly(CALL_TICK, this::tickCalls);
         mLoop.scheduleRepeatedly(LOAD_TICK, this::tickLoad);
         mLoop.scheduleRepeatedly(OUTLIER_TICK, () -> mDispatcher.ejectOutliers(mLoop.nowNanos()));
@@ -262,6 +269,8 @@
 
     private void tickCalls() {
         long now = mLoop.nowNanos();
+        mActivity.onLoopDelay(Math.max(0, now - mLastCallTickNanos - CALL_TICK.toNanos()));
+        mLastCallTickNanos = now;
         for (ForwardedCall call : ImmutableList.copyOf(mCalls)) {
             boolean silent = call.server().filter(s -> mHealth.isSilent(s, now)).isPresent();
             call.tick(now, silent);
@@ -282,6 +291,7 @@
         mPool.closeExpired();
         mServerTable.removeGone();
         mRequestHandler.closeIdle(mCallers, mLoop.nowNanos());
+        mActivity.logIfDue(mLoop.nowNanos(), mCalls.size(), mDispatcher.waiting(), mCallers.size());
     }
 
     private void onConfiguration() {
@@ -365,6 +375,11 @@
         return mMetrics;
     }
 
+    @Override
+    public GatewayActivity activity() {
+        return mActivity;
+    }
+
     @Override
     public HeaderCodec headerCodec() {
         return mHeaderCodec;
@@ -421,6 +436,7 @@
 
     private void dispatchWaiting() {
         if (mDispatcher.waiting() > 0) {
+            mActivity.onDispatchRun();
             execute(mDispatcher.dispatchWaiting(mLoop.nowNanos()));
         }
     }
@@ -446,6 +462,11 @@
         mVersionSelector.onAttemptEnd(server, request, success, millis);
     }
 
+    @Override
+    public double leadTokens(CustomerId customer) {
+        return mLedger.leadOverBacklogged(customer);
+    }
+
     @Override
     public void onEnd(ForwardedCall call) {
         mCalls.remove(call);
--- a/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
@@ -28,6 +28,9 @@
     /** Totals change more slowly than load. */
     static final int TICKS_PER_TOTALS = 10;
 
+    /** Reports after which the one that is timed counts as lost. */
+    private static final int MAX_UNANSWERED_REPORTS = 500;
+
     private final ServerTable mServerTable;
     private final ControlLinks mControlLinks;
     private final ColdPermits mColdPermits;
@@ -35,11 +38,14 @@
     private final VmId mSelf;
     private final ServiceLedger mLedger;
     private final EventLoop mLoop;
+    private final GatewayActivity mActivity;
     private final Set<VmId> mOtherGateways = new TreeSet<>();
     private List<String> mGateways = List.of();
     private List<ServerLoad> mLastSent = List.of();
     private Optional<VmId> mLastRelay = Optional.empty();
     private long mSequence;
+    private long mTimedSequence;
+    private long mTimedSinceNanos;
     private long mTicks;
 
     LoadExchange(
@@ -49,7 +55,8 @@
             FleetRetryBudget budget,
             VmId self,
             ServiceLedger ledger,
-            EventLoop loop) {
+            EventLoop loop,
+            GatewayActivity activity) {
         mServerTable = serverTable;
         mControlLinks = controlLinks;
         mColdPermits = coldPermits;
@@ -57,6 +64,7 @@
         mSelf = self;
         mLedger = ledger;
         mLoop = loop;
+        mActivity = activity;
     }
 
     /** Sends the load if it changed, and totals every few ticks; called several times a second. */
@@ -83,6 +91,7 @@
                 relay.get(), Envelope.newBuilder().setGatewayLoad(message).build())) {
             mLastSent = load;
             mLastRelay = relay;
+            startTiming();
         }
     }
 
@@ -91,6 +100,7 @@
         if (!mControlLinks.relay().filter(member::equals).isPresent()) {
             return;
         }
+        endTiming(load.getReceivedSequence());
         mServerTable.setOtherGatewaysLoad(load.getServersList());
         setGateways(load.getGatewaysList());
         if (load.getOriginsCount() > 0) {
@@ -103,6 +113,22 @@
         }
     }
 
+    /** Times one report at a time, so that a lost one does not stop the measurement for long. */
+    private void startTiming() {
+        boolean lost = mSequence - mTimedSequence > MAX_UNANSWERED_REPORTS;
+        if (mTimedSequence == 0 || lost) {
+            mTimedSequence = mSequence;
+            mTimedSinceNanos = mLoop.nowNanos();
+        }
+    }
+
+    private void endTiming(long receivedSequence) {
+        if (mTimedSequence > 0 && receivedSequence >= mTimedSequence) {
+            mActivity.onLoadRoundTrip(mLoop.nowNanos() - mTimedSinceNanos);
+            mTimedSequence = 0;
+        }
+    }
+
     /** Updates the running gateways, which change far less often than their load. */
     private void setGateways(List<String> gateways) {
         if (gateways.equals(mGateways)) {
--- a/src/main/java/org/jacinthwharf/process/metrics/FleetMetrics.java
+++ b/src/main/java/org/jacinthwharf/process/metrics/FleetMetrics.java
@@ -11,12 +11,17 @@
  * exist from the start, at zero.
  */
 public final class FleetMetrics {
+    private static final double[] DELAY_BOUNDS = {.01, .03, .1, .3, 1, 3};
+
     private final PrometheusRegistry mRegistry = new PrometheusRegistry();
     private final Counter mRefusals;
     private final Counter mRetries;
     private final Counter mEvents;
     private final Counter mControlBytes;
+    private final Counter mGatewayBytes;
     private final Histogram mRequestSeconds;
+    private final Histogram mLoopDelaySeconds;
+    private final Histogram mLoadRoundTripSeconds;
 
     /** Creates the metrics in their own registry. */
     public FleetMetrics() {
@@ -51,6 +56,24 @@
                         .labelNames("route", "outcome")
                         .classicUpperBounds(.005, .02, .05, .1, .25, .5, .93, 2, 5, 15, 60)
                         .register(mRegistry);
+        mGatewayBytes =
+                Counter.builder()
+                        .name("jacinthwharf_gateway_bytes_total")
+                        .help("Bytes of bodies that a gateway received, by kind.")
+                        .labelNames("kind")
+                        .register(mRegistry);
+        mLoopDelaySeconds =
+                Histogram.builder()
+                        .name("jacinthwharf_loop_delay_seconds")
+                        .help("How late periodic tasks of the event loop ran.")
+                        .classicUpperBounds(DELAY_BOUNDS)
+                        .register(mRegistry);
+        mLoadRoundTripSeconds =
+                Histogram.builder()
+                        .name("jacinthwharf_load_round_trip_seconds")
+                        .help("Time from a gateway's load report to the sums that include it.")
+                        .classicUpperBounds(DELAY_BOUNDS)
+                        .register(mRegistry);
         for (RefusalReason r : RefusalReason.values()) {
             mRefusals.initLabelValues(r.code());
         }
@@ -84,6 +107,21 @@
         mRequestSeconds.labelValues(route, outcome).observe(seconds);
     }
 
+    /** Adds bytes of bodies that a gateway received; {@code kind} is a fixed name in the code. */
+    public void countGatewayBytes(String kind, long bytes) {
+        mGatewayBytes.labelValues(kind).inc(bytes);
+    }
+
+    /** Records how late a periodic task of the event loop ran. */
+    public void observeLoopDelay(double seconds) {
+        mLoopDelaySeconds.observe(seconds);
+    }
+
+    /** Records the time from a gateway's load report to the sums that include it. */
+    public void observeLoadRoundTrip(double seconds) {
+        mLoadRoundTripSeconds.observe(seconds);
+    }
+
     /** Returns the registry, for exposition. */
     public PrometheusRegistry registry() {
         return mRegistry;
