Do not compare waiting requests with servers that are all full

Cause: each message with load, each change in the directory and each freed slot compared every waiting request with every server, also when all servers were full, and started again from the first request after each placement. So the work grew with messages x waiting requests x servers, most where requests wait. Now a run ends at once while no server may have capacity, a request is tried once in a run, and the servers of a version are selected once in a run.

--- a/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
@@ -31,7 +31,16 @@
     /** Larger than the number of requests that wait at the same time. */
     private static final int MAX_CHOSEN_VERSIONS = 4_096;
 
+    /** The servers of a version, for the requests that are placed in one run. */
+    private record Selection(
+            Model model, String chosen, List<BackendServer> from, List<BackendServer> allowed) {
+        boolean isFor(Model m, String version, List<BackendServer> servers) {
+            return servers == from && m == model && version.equals(chosen);
+        }
+    }
+
     private final VersionDriver mDriver;
+    private Selection mLast = new Selection(Model.getDefaultInstance(), "", List.of(), List.of());
     private final Map<String, String> mChosenVersions =
             new LinkedHashMap<>() {
                 @Override
@@ -55,6 +64,13 @@
         Model m = model.get();
         String chosen =
                 retry ? VersionDriver.chooseForRetry(m).version().value() : chooseOnce(m, request);
+        if (!mLast.isFor(m, chosen, servers)) {
+            mLast = new Selection(m, chosen, servers, select(m, chosen, servers));
+        }
+        return mLast.allowed();
+    }
+
+    private static List<BackendServer> select(Model m, String chosen, List<BackendServer> servers) {
         List<BackendServer> matching =
                 servers.stream()
                         .filter(s -> evidenceVersion(m, s.version()).equals(chosen))
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -3,7 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -226,16 +228,30 @@
                             retryAfterMillis(wait / MILLI_NANOS)));
         }
         Optional<ServiceObjectives> service = mServices.apply(name);
-        boolean placed = service.isPresent();
-        while (placed && queue.size() > 0) {
+        if (service.isPresent()) {
+            placeWaiting(queue, service.get(), nowNanos, actions);
+        }
+    }
+
+    private void placeWaiting(
+            WaitingRequests<R> queue,
+            ServiceObjectives service,
+            long nowNanos,
+            ImmutableList.Builder<DispatchAction<R>> actions) {
+        List<BackendServer> candidates = candidates(service, nowNanos);
+        // Capacity only shrinks during a run, so no request is tried twice.
+        Set<WaitingRequests.Entry<R>> tried = Collections.newSetFromMap(new IdentityHashMap<>());
+        boolean placed = true;
+        while (placed && queue.size() > 0 && mayHaveCapacity(service, candidates)) {
             placed = false;
-            // Candidates change only when a request is placed.
-            List<BackendServer> candidates = candidates(service.get(), nowNanos);
             for (var head : queue.heads(nowNanos)) {
+                if (!tried.add(head)) {
+                    continue;
+                }
                 Optional<Placement> placement =
                         place(
                                 head.request(),
-                                service.get(),
+                                service,
                                 head.excluded(),
                                 mayUseAnyEngine(head, nowNanos),
                                 candidates,
@@ -243,6 +259,7 @@
                 if (placement.isPresent()) {
                     queue.removeStarted(head, nowNanos);
                     actions.add(new DispatchAction.Place<>(head.call(), placement.get()));
+                    candidates = withPermit(candidates, placement.get(), service, nowNanos);
                     placed = true;
                     break;
                 }
@@ -263,6 +280,25 @@
                 > (leastServed ? Math.min(wait, LEAST_SERVED_PREFIX_WAIT_NANOS) : wait);
     }
 
+    /** Returns whether any server may have capacity for some request. */
+    private boolean mayHaveCapacity(ServiceObjectives service, List<BackendServer> candidates) {
+        double millisPerToken = prefillModel(service.service().getName()).millisPerToken();
+        return candidates.stream()
+                .anyMatch(s -> ServerChoice.mayHaveCapacity(service, millisPerToken, s));
+    }
+
+    /** Removes the server of a placement from the candidates if it is cold and has no permit. */
+    private List<BackendServer> withPermit(
+            List<BackendServer> candidates,
+            Placement placement,
+            ServiceObjectives service,
+            long nowNanos) {
+        BackendServer placed = placement.server();
+        return mColdPermits.allows(placed, service.service(), nowNanos)
+                ? candidates
+                : candidates.stream().filter(s -> s != placed).toList();
+    }
+
     /** Returns the servers of a service that may be sent requests now, regardless of load. */
     private List<BackendServer> candidates(ServiceObjectives objectives, long nowNanos) {
         List<BackendServer> usable = new ArrayList<>();
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -112,17 +112,33 @@
     Optional<BackendServer> choose(
             Criteria c, PrefillModel prefillModel, List<BackendServer> candidates) {
         List<BackendServer> remaining =
-                candidates.stream().filter(s -> !c.excluded().contains(s.id())).toList();
+                c.excluded().isEmpty()
+                        ? candidates
+                        : candidates.stream().filter(s -> !c.excluded().contains(s.id())).toList();
         return c.objectives().isEngine()
                 ? chooseEngine(c, prefillModel, remaining)
                 : choosePlain(remaining);
     }
 
     private Optional<BackendServer> choosePlain(List<BackendServer> candidates) {
-        return cheapest(
-                candidates,
-                s -> s.totalRunning() < Math.ceil(PLAIN_REQUESTS_PER_SLOT * s.slots()),
-                this::plainCost);
+        return cheapest(candidates, ServerChoice::hasPlainCapacity, this::plainCost);
+    }
+
+    private static boolean hasPlainCapacity(BackendServer s) {
+        return s.totalRunning() < Math.ceil(PLAIN_REQUESTS_PER_SLOT * s.slots());
+    }
+
+    /**
+     * Returns whether a server may have capacity for some request. Cheaper than {@link #choose},
+     * and false for all servers under overload.
+     */
+    static boolean mayHaveCapacity(
+            ServiceObjectives objectives, double millisPerToken, BackendServer s) {
+        return objectives.isEngine()
+                ? s.totalRunning() < s.slots()
+                        && millisPerToken * s.totalPendingPrefillTokens()
+                                <= PREFILL_WAIT_FRACTION * objectives.objectiveMillis()
+                : hasPlainCapacity(s);
     }
 
     private Optional<BackendServer> chooseEngine(
@@ -130,19 +146,18 @@
         Prompt prompt = c.request().prompt();
         PreferredEngines preferred = PreferredEngines.of(prompt, candidates);
         double customerFraction = customerFraction(c);
+        double millisPerToken = prefillModel.millisPerToken();
         return cheapest(
                 candidates,
                 s -> {
                     boolean idle = s.totalRunning() < IDLE_SLOTS_FRACTION * s.slots();
-                    boolean engineAllowed =
-                            c.anyEngine() || idle || preferred.isCachedOrShort(prompt, s);
-                    return engineAllowed
-                            && hasCapacity(
+                    return hasCapacity(
                                     c,
-                                    prefillModel,
+                                    millisPerToken,
                                     s,
                                     customerFraction,
-                                    preferred.openFraction(prompt, s));
+                                    preferred.openFraction(prompt, s))
+                            && (c.anyEngine() || idle || preferred.isCachedOrShort(prompt, s));
                 },
                 s -> engineCost(c.request(), s, preferred));
     }
@@ -224,14 +239,14 @@
 
     private static boolean hasCapacity(
             Criteria c,
-            PrefillModel prefillModel,
+            double millisPerToken,
             BackendServer s,
             double customerFraction,
             double openFraction) {
         Service service = c.objectives().service();
         // The bound does not depend on the size of the prompt: a bound that includes the prompt
         // itself would let small prompts starve large ones.
-        double waitMillis = prefillModel.millisPerToken() * s.totalPendingPrefillTokens();
+        double waitMillis = millisPerToken * s.totalPendingPrefillTokens();
         if (waitMillis
                 > PREFILL_WAIT_FRACTION
                         * c.objectives().objectiveMillis()
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
@@ -28,6 +28,7 @@
     final List<String> mPlaced = new ArrayList<>();
     final List<Placement> mPlacements = new ArrayList<>();
     final List<String> mRefused = new ArrayList<>();
+    int mVersionChecks;
     long mNow = 100 * SECOND;
 
     DispatchScenario() {
@@ -52,7 +53,10 @@
                         mCold,
                         mHealth,
                         mLedger,
-                        (request, servers, retry) -> servers,
+                        (request, servers, retry) -> {
+                            mVersionChecks++;
+                            return servers;
+                        },
                         name ->
                                 name.equals(ENGINES)
                                         ? Optional.of(new ServiceObjectives(engines, 400, 200_000))
