Forward an announcement without changes to a gateway from two control members, not from all

Changes still go to all gateways at once; an announcement without changes goes in batches from the member that received it and from the relay of the gateway.

--- a/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
+++ b/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.jacinthwharf.connection.Link;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.membership.ServerDirectory;
@@ -40,6 +41,8 @@
     private final ServerDirectory mDirectory = new ServerDirectory();
     private final Map<Link, Subscriber> mSubscribers = new LinkedHashMap<>();
     private final Set<String> mRefreshed = new HashSet<>();
+    private final Set<String> mRefreshedByMembers = new HashSet<>();
+    private final Predicate<Link> mIsRelayFor;
     private final EventLoop mLoop;
 
     /** The updates that were sent to one linked process. */
@@ -61,7 +64,13 @@
         }
     }
 
-    DirectoryService(EventLoop loop) {
+    /**
+     * Creates a service with an empty directory.
+     *
+     * @param isRelayFor whether this member relays load to the gateway at the other end of a link
+     */
+    DirectoryService(Predicate<Link> isRelayFor, EventLoop loop) {
+        mIsRelayFor = isRelayFor;
         mLoop = loop;
     }
 
@@ -141,17 +150,27 @@
         return ++s.mLastSentNumber;
     }
 
-    private void sendRefreshed() {
+    void sendRefreshed() {
         long now = mLoop.nowNanos();
         mDirectory.expireTombstones(now);
+        sendRecords(mRefreshed, mSubscribers.keySet(), now);
+        mRefreshedByMembers.removeAll(mRefreshed);
+        mRefreshed.clear();
+        sendRecords(
+                mRefreshedByMembers,
+                mSubscribers.keySet().stream().filter(mIsRelayFor).toList(),
+                now);
+        mRefreshedByMembers.clear();
+    }
+
+    private void sendRecords(Set<String> servers, Collection<Link> links, long now) {
         List<ServerRecord> records =
-                mRefreshed.stream()
+                servers.stream()
                         .flatMap(id -> mDirectory.find(id).stream())
                         .map(e -> e.toMessage(now))
                         .toList();
-        mRefreshed.clear();
         if (!records.isEmpty()) {
-            mSubscribers.keySet().forEach(l -> send(l, records));
+            links.forEach(l -> send(l, records));
         }
     }
 
@@ -184,13 +203,20 @@
         }
     }
 
-    /** Merges an update from another member and forwards it to linked gateways, not to members. */
-    void onMemberUpdate(Link from, DirectoryUpdate update, Collection<Link> gateways) {
+    /**
+     * Merges an update from another member and forwards what changed to linked gateways, not to
+     * members. Gateways are linked to all members, so refreshed records are left to the member that
+     * received the announcement and to the relay of each gateway.
+     */
+    void onMemberUpdate(DirectoryUpdate update, Collection<Link> gateways) {
         long now = mLoop.nowNanos();
         List<ServerRecord> changed = new ArrayList<>();
         for (ServerRecord r : update.getRecordsList()) {
-            if (mDirectory.merge(r, now) != ServerDirectory.Change.NONE) {
+            ServerDirectory.Change change = mDirectory.merge(r, now);
+            if (change == ServerDirectory.Change.CHANGED) {
                 changed.add(find(r.getServer(), now));
+            } else if (change == ServerDirectory.Change.REFRESHED) {
+                mRefreshedByMembers.add(r.getServer());
             }
         }
         if (!changed.isEmpty()) {
--- a/src/main/java/org/jacinthwharf/process/control/LoadAggregator.java
+++ b/src/main/java/org/jacinthwharf/process/control/LoadAggregator.java
@@ -59,6 +59,12 @@
         }
     }
 
+    /** Returns whether the gateway at the other end of a link reports its load here. */
+    boolean isRelayFor(Link link) {
+        GatewayLoad load = mReportedLoads.get(link);
+        return load != null && load.getSequence() > 0;
+    }
+
     private void schedule() {
         if (!mScheduled) {
             mScheduled = true;
--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -91,8 +91,8 @@
                         mClaims,
                         components.planner(),
                         components.witness());
-        mDirectory = new DirectoryService(loop);
         mLoadAggregator = new LoadAggregator(loop);
+        mDirectory = new DirectoryService(mLoadAggregator::isRelayFor, loop);
         mGroupLinks = new ControlGroupLinks(settings, mLinks, new LinkHandler());
         mOperatorEndpoint =
                 new HttpEndpoint(
@@ -214,7 +214,7 @@
         public void onMessage(Link link, Envelope message) {
             switch (message.getPayloadCase()) {
                 case DIRECTORY_UPDATE -> {
-                    mDirectory.onMemberUpdate(link, message.getDirectoryUpdate(), mGateways);
+                    mDirectory.onMemberUpdate(message.getDirectoryUpdate(), mGateways);
                     link.send(DirectoryMessages.ack(message.getDirectoryUpdate().getNumber()));
                 }
                 case DIRECTORY_ACK -> mDirectory.onAck(link, message.getDirectoryAck().getNumber());
