Accept all waiting connections in each run of the event loop

Cause: by default Netty accepts 16 connections in each run of the loop. When a run takes 50 ms, that is 320 a second; the others wait in the backlog until their callers have given up, and are then served all the same. Class of fault: a queue in front of the process that no limit of ours covers. Ports of gateways, readiness and control are now opened at one place, which accepts the whole backlog. ListeningPortTest failed before: 53 runs for 200 connections, at most 3 allowed.

--- a/src/main/java/org/jacinthwharf/connection/HttpEndpoint.java
+++ b/src/main/java/org/jacinthwharf/connection/HttpEndpoint.java
@@ -1,18 +1,15 @@
 package org.jacinthwharf.connection;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -66,19 +63,7 @@
      * @throws IOException if the address cannot be bound
      */
     public void listen(InetSocketAddress address) throws IOException {
-        var bound =
-                new ServerBootstrap()
-                        .group(mGroup)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(new PipelineInitializer())
-                        .bind(address)
-                        .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("cannot listen on " + address, bound.cause());
-        }
-        mListener = bound.channel();
+        mListener = ListeningPort.open(mGroup, address, new PipelineInitializer());
     }
 
     /** Stops listening; open connections are closed with the group. */
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -2,11 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
@@ -19,6 +15,7 @@
 import org.jacinthwharf.connection.HttpCall;
 import org.jacinthwharf.connection.HttpEndpoint;
 import org.jacinthwharf.connection.Links;
+import org.jacinthwharf.connection.ListeningPort;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.id.VmId;
@@ -59,7 +56,6 @@
     static final Duration LOAD_TICK = Duration.ofMillis(20);
     private static final Duration OUTLIER_TICK = Duration.ofMillis(250);
     private static final Duration MAINTENANCE_TICK = Duration.ofSeconds(1);
-    private static final int ACCEPT_BACKLOG = 1_024;
 
     /**
      * Number of routers that the false alarm rate of a version move is divided among, since any one
@@ -188,22 +184,12 @@
         if (mSettings.listen().http().isEmpty()) {
             throw new IOException("listen.http must be given");
         }
-        ChannelFuture bound =
-                new ServerBootstrap()
-                        .group(mLoop.group())
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new CallerPipeline(
-                                        mConfiguration, mRequestHandler, () -> mDraining, mCallers))
-                        .bind(mSettings.listen().http().get().toSocketAddress())
-                        .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("cannot listen on " + mSettings.listen().http(), bound.cause());
-        }
-        mListener = bound.channel();
+        mListener =
+                ListeningPort.open(
+                        mLoop.group(),
+                        mSettings.listen().http().get().toSocketAddress(),
+                        new CallerPipeline(
+                                mConfiguration, mRequestHandler, () -> mDraining, mCallers));
         if (mSettings.listen().ready().isPresent()) {
             mReadyEndpoint.listen(mSettings.listen().ready().get().toSocketAddress());
         }
