Disconnect backend servers that send bytes without end (gateway)

Where a server's answer reaches a gateway, now bounded: - heads, informational answers, chunk sizes, trailers, blank lines, answers to other requests: 256 KB in a row without a head or a part of the body (AnswerBytes, ServerConnection); bytes while no request is in flight close the connection at once; - an event, or a line of a stream: 256 KB; a resumable stream goes on elsewhere, another one is cut; - a body that is buffered: 512 KB as before; the caller now gets 502 instead of a closed connection, and the server's connection is closed also where the call must not be repeated; - an answer that nobody waits for: one second after the deadline.

--- a/src/main/java/org/jacinthwharf/process/gateway/EventSplitter.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/EventSplitter.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.util.ByteProcessor;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
@@ -13,11 +14,15 @@
  * last event id is that of the last event returned.
  */
 final class EventSplitter {
+    /** An event or a line of a stream that is longer does not come from a sound server. */
+    static final int MAX_EVENT_BYTES = 256 << 10;
+
     private static final byte NEWLINE = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
 
     private ByteBuf mPartialEvent = Unpooled.EMPTY_BUFFER;
     private Optional<String> mLastEventId;
+    private int mLineBytes;
 
     /** Creates a splitter for a stream that resumes after the given event. */
     EventSplitter(Optional<String> lastEventId) {
@@ -35,6 +40,13 @@
         return events;
     }
 
+    /** Returns whether an event or a line exceeds {@link #MAX_EVENT_BYTES} with the given bytes. */
+    boolean isTooLong(ByteBuf data) {
+        int end = data.forEachByteDesc(ByteProcessor.FIND_LF);
+        mLineBytes = end < 0 ? mLineBytes + data.readableBytes() : data.writerIndex() - end - 1;
+        return mLineBytes > MAX_EVENT_BYTES || mPartialEvent.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Returns the bytes after the last complete event and clears them. */
     ByteBuf takeRemainder() {
         ByteBuf rest = mPartialEvent;
@@ -46,6 +58,7 @@
     void dropPartialEvent() {
         mPartialEvent.release();
         mPartialEvent = Unpooled.EMPTY_BUFFER;
+        mLineBytes = 0;
     }
 
     Optional<String> lastEventId() {
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -40,8 +41,8 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /**
-     * Answers other than streams are buffered whole, so that a broken one can be retried; larger
-     * ones are aborted.
+     * Answers other than streams are buffered whole, so that a broken one can be retried; a larger
+     * one fails.
      */
     private static final int MAX_BUFFERED_BYTES = 512 << 10;
 
@@ -51,6 +52,9 @@
     /** With less time remaining, no server can answer within the deadline. */
     private static final long MIN_REMAINING_MILLIS = 5;
 
+    /** The server knows the deadline; this covers the network. */
+    private static final Duration FINISH_TIME_AFTER_DEADLINE = Duration.ofSeconds(1);
+
     private static final int MISDIRECTED_REQUEST = 421;
 
     private final FullHttpRequest mRequest;
@@ -251,11 +255,20 @@
         if (mBody.readableBytes() + data.readableBytes() <= MAX_BUFFERED_BYTES) {
             mBody.addComponent(true, data.retain());
         } else {
-            abort("answer is too large");
+            cancelExchange();
+            mMayHaveRun = true;
+            mCause = "answer is too large";
+            endWithError(RefusalReason.BACKEND_FAILED, 0);
         }
     }
 
     private void onStreamData(ByteBuf data) {
+        if (mEventSplitter.isTooLong(data)) {
+            mPlacement.server().onFailure(now());
+            mExchange.cancel();
+            onFailed(RetryReason.STREAM_TRUNCATED, "an event is too long");
+            return;
+        }
         mPlacement.onFirstEvent(now());
         ByteBuf events = isResumable() ? mEventSplitter.feed(data) : data.retain();
         if (!events.isReadable()) {
@@ -514,11 +527,26 @@
             return;
         }
         if (isStream() || isSafeToRerun()) {
+            cancelExchange();
+        }
+    }
+
+    private void cancelExchange() {
+        if (mExchange != null) {
             mExchange.cancel();
             releasePlacement(Optional.empty());
         }
     }
 
+    /** Limits how long a server may finish an answer that nobody waits for. */
+    private void cancelExchangeAfterDeadline() {
+        if (mExchange != null) {
+            long remaining = Math.max(0, mDeadlineNanos - now());
+            Duration delay = Duration.ofNanos(remaining).plus(FINISH_TIME_AFTER_DEADLINE);
+            mContext.loop().schedule(delay, this::cancelExchange);
+        }
+    }
+
     private void releasePlacement(Optional<Boolean> success) {
         mExchange = null;
         if (mPlacement != null) {
@@ -572,6 +600,7 @@
         releaseBody();
         mEventSplitter.dropPartialEvent();
         mRequest.release();
+        cancelExchangeAfterDeadline();
         mContext.onEnd(this);
     }
 
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -19,13 +19,21 @@
  * <p>Used on the event loop only. Invariants: data that arrives while no request is in flight, or
  * after the end of its answer, belongs to no request, and the connection is closed; the connection
  * is offered for reuse only after all data that was read together with the end of an answer has
- * been processed.
+ * been processed; a server that sends {@link #MAX_FRAMING_BYTES} without a head or a part of a body
+ * is disconnected.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /**
+     * Bound on bytes in a row that are neither a head nor part of a body: more than a head of
+     * maximum size, and one read.
+     */
+    static final int MAX_FRAMING_BYTES = 256 << 10;
+
     private final ServerPool mPool;
     private final String mAddress;
+    private long mFramingBytes;
     private Channel mChannel;
     private ExchangeListener mListener;
     private boolean mBusy;
@@ -58,6 +66,7 @@
         mAnswered = false;
         mHeadSeen = false;
         mRequestWritten = false;
+        mFramingBytes = 0;
         mListener = listener;
         mChannel.writeAndFlush(request)
                 .addListener(
@@ -98,6 +107,22 @@
         return mChannel.isActive() && nowNanos - mIdleSinceNanos < mIdleLimitNanos;
     }
 
+    /** Counts bytes before they are decoded; returns false if the connection was closed instead. */
+    boolean onBytes(int count) {
+        mFramingBytes += count;
+        if (!mBusy) {
+            mPool.countEvent("surplus_answer");
+            onBroken("data without a request");
+            return false;
+        }
+        if (mFramingBytes > MAX_FRAMING_BYTES) {
+            mPool.countEvent("endless_answer");
+            onBroken("no answer within " + MAX_FRAMING_BYTES + " bytes");
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -127,6 +152,7 @@
             return;
         }
         mHeadSeen = true;
+        mFramingBytes = 0;
         updateKeepAlive(head);
         if (mListener != null && !mListener.onHead(head)) {
             mPool.countEvent("crossed_answer");
@@ -157,6 +183,7 @@
             return;
         }
         if (mListener != null && content.content().isReadable()) {
+            mFramingBytes = 0;
             mListener.onBody(content.content());
         }
         if (last && mHeadSeen) {
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -135,7 +135,10 @@
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
                                         connection.setChannel(channel);
-                                        channel.pipeline().addLast(codec()).addLast(connection);
+                                        channel.pipeline()
+                                                .addLast(new AnswerBytes(connection))
+                                                .addLast(codec())
+                                                .addLast(connection);
                                     }
                                 })
                         .connect(socketAddress(address));
