Disconnect backend servers that send bytes without end (router)

Now bounded: a head by 64 KB (Jetty's client had no limit), an answer by the request timeout also while its server sends (so chunk sizes, trailers and informational answers without end too), a body by 8 MB and an event by 1 MB as before. A body over its limit was read on and on, since the attempt counted as ended and nobody closed its connection; content after the end of an attempt now closes it. The caller is told what a closed connection tells.

--- a/src/main/java/org/jacinthwharf/process/router/AttemptListener.java
+++ b/src/main/java/org/jacinthwharf/process/router/AttemptListener.java
@@ -6,7 +6,8 @@
 /**
  * Receives the answer to one attempt to send a request to a backend server, on the event loop.
  *
- * <p>The last call is either {@link #onEnd} or {@link #onFailed}.
+ * <p>The last call is either {@link #onEnd} or {@link #onFailed}; a finished listener gets no
+ * further content.
  */
 interface AttemptListener {
     /** Called when the status line and all headers have arrived. */
@@ -19,6 +20,9 @@
      */
     void onContent(ByteString chunk, Runnable readMore);
 
+    /** Returns whether the rest of the answer is of no use; the connection is then closed. */
+    boolean isFinished();
+
     /** Called when the answer is complete according to HTTP framing. */
     void onEnd();
 
--- a/src/main/java/org/jacinthwharf/process/router/AttemptReceiver.java
+++ b/src/main/java/org/jacinthwharf/process/router/AttemptReceiver.java
@@ -115,10 +115,6 @@
 
     @Override
     public void onContent(ByteString chunk, Runnable readMore) {
-        if (mFinished) {
-            readMore.run();
-            return;
-        }
         mSink.onProgress(false);
         if (mStreaming) {
             forwardEvents(chunk, readMore);
@@ -177,6 +173,11 @@
         }
     }
 
+    @Override
+    public boolean isFinished() {
+        return mFinished;
+    }
+
     @Override
     public void onEnd() {
         if (mFinished) {
--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -33,18 +33,23 @@
     /** Pooled connections that are idle for longer may be silently broken and are not reused. */
     static final Duration CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(5);
 
-    /** Timeout of an attempt; exceeds the longest deadline of a request. */
+    /**
+     * Timeout of an attempt, also while its server sends; exceeds the longest deadline of a
+     * request.
+     */
     static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(130);
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final HttpClient mClient;
     private final EventLoop mLoop;
+    private final Duration mRequestTimeout;
     private final AtomicLong mConnectionTag = new AtomicLong();
 
-    BackendClient(HttpClient client, EventLoop loop) {
+    BackendClient(HttpClient client, EventLoop loop, Duration requestTimeout) {
         mClient = client;
         mLoop = loop;
+        mRequestTimeout = requestTimeout;
     }
 
     /** An in-flight attempt. Thread-safe. */
@@ -84,7 +89,8 @@
         }
         // Overrides the client's idle timeout, which is meant for pooled connections; the silence
         // detector watches the request.
-        outgoing.idleTimeout(REQUEST_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        outgoing.idleTimeout(mRequestTimeout.toMillis(), TimeUnit.MILLISECONDS);
+        outgoing.timeout(mRequestTimeout.toMillis(), TimeUnit.MILLISECONDS);
         AtomicBoolean requestBegun = new AtomicBoolean();
         outgoing.onRequestBegin(r -> requestBegun.set(true));
         outgoing.onResponseHeaders(
@@ -99,7 +105,14 @@
             AttemptListener listener, Response response, Content.Chunk content, Runnable readMore) {
         ByteBuffer buffer = content.getByteBuffer();
         ByteString chunk = ByteString.copyFrom(buffer);
-        mLoop.execute(() -> listener.onContent(chunk, readMore));
+        mLoop.execute(
+                () -> {
+                    if (listener.isFinished()) {
+                        response.abort(new AttemptCancelledException("the answer is not awaited"));
+                    } else {
+                        listener.onContent(chunk, readMore);
+                    }
+                });
     }
 
     private static void forwardResult(
--- a/src/main/java/org/jacinthwharf/process/router/HttpFactory.java
+++ b/src/main/java/org/jacinthwharf/process/router/HttpFactory.java
@@ -28,6 +28,7 @@
     // Caller connections without an in-flight request are closed after this time.
     private static final Duration CALLER_IDLE_TIMEOUT = Duration.ofSeconds(60);
     private static final int MAX_CONNECTIONS_PER_SERVER = 1_024;
+    private static final int MAX_ANSWER_HEADER_BYTES = 64 << 10;
     private static final int ACCEPT_QUEUE_SIZE = 1_024;
     private static final Duration DESTINATION_IDLE_TIMEOUT = Duration.ofSeconds(10);
 
@@ -69,6 +70,7 @@
         client.setIdleTimeout(BackendClient.CONNECTION_IDLE_TIMEOUT.toMillis());
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_SERVER);
         client.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT.toMillis());
+        client.setMaxResponseHeadersSize(MAX_ANSWER_HEADER_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField((HttpField) null);
         client.setDefaultRequestContentType(null);
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -169,7 +169,7 @@
         mRetryBudget = new RetryBudget(now);
         HttpFactory http = new HttpFactory();
         mHttpClient = http.newClient();
-        mClient = new BackendClient(mHttpClient, loop);
+        mClient = new BackendClient(mHttpClient, loop, BackendClient.REQUEST_TIMEOUT);
         mHttpServer = http.newServer(settings.listen().http(), settings.limits(), metrics);
         SizeLimitHandler bodyLimit = new SizeLimitHandler(settings.limits().maxBodyBytes(), -1);
         bodyLimit.setHandler(
