Let the wait for an empty engine grow with the lead of the customer

Class of fault: an order that saturates. The wait now grows by one load delay each time that the lead halves the customer's capacity, five at most.

--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -70,6 +70,9 @@
     /** A customer with a lower capacity fraction is far ahead of a backlogged customer. */
     private static final double FAR_AHEAD_FRACTION = 0.25;
 
+    /** Bound on the load delays in a wait for an empty engine, so that engines do not idle long. */
+    private static final double MAX_WAIT_HALVINGS = 5;
+
     /** Range of the pseudo-random part of the waits for an empty engine. */
     private static final long FAR_AHEAD_WAIT_RANGE_NANOS = 100_000_000L;
 
@@ -258,7 +261,7 @@
         }
         if (customerFraction < FAR_AHEAD_FRACTION
                 && c.nowNanos() - s.lastPendingPrefillNanos()
-                        < farAheadWaitNanos(s, c.loadDelayNanos())) {
+                        < farAheadWaitNanos(c, customerFraction, s)) {
             return false;
         }
         boolean fits =
@@ -284,14 +287,19 @@
 
     /**
      * Returns how long an engine must have had no pending prefill tokens before it is sent a prompt
-     * of a customer that is far ahead. A gateway whose request has finished its prefill knows so
-     * one load delay before the others, and hears one load delay later what they sent: a wait of
-     * two delays leaves the engine to the customers that are behind. The gateways of customers far
-     * ahead then wait for pseudo-random times, and see what the first one of them sent.
+     * of a customer that is far ahead.
+     *
+     * <p>A gateway whose request has finished its prefill knows so one load delay before the
+     * others, and hears one load delay later what they sent: a wait of two delays leaves the engine
+     * to the customers that are behind. The wait grows with the lead, since several customers may
+     * be far ahead of the one that is furthest behind, and otherwise the one with the most gateways
+     * would win each race between them. The gateways of one customer wait for pseudo-random times,
+     * and see what the first one of them sent.
      */
-    private static long farAheadWaitNanos(BackendServer s, long loadDelayNanos) {
+    private static long farAheadWaitNanos(Criteria c, double customerFraction, BackendServer s) {
+        double halvings = Math.min(MAX_WAIT_HALVINGS, -Math.log(customerFraction) / Math.log(2));
         long draw = Rendezvous.weight(s.hash(), s.lastPendingPrefillNanos()) >>> 1;
-        return 2 * loadDelayNanos + draw % FAR_AHEAD_WAIT_RANGE_NANOS;
+        return (long) (halvings * c.loadDelayNanos()) + draw % FAR_AHEAD_WAIT_RANGE_NANOS;
     }
 
     /** Returns the longest predicted time to first token that is accepted, in milliseconds. */
--- a/src/test/java/org/jacinthwharf/request/dispatch/GatewayFairnessTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/GatewayFairnessTest.java
@@ -27,6 +27,8 @@
     private static final long RUN_MILLIS = 100;
 
     private static final long WINDOW_MILLIS = 6_000;
+    private static final long SMALL_INTERVAL_MILLIS = 50;
+    private static final int SMALL_TOKENS = 500;
     private static final long TOTALS_INTERVAL_MILLIS = 200;
 
     private final List<DispatchScenario> mGateways = new ArrayList<>();
@@ -39,6 +41,10 @@
 
     private long mTokensPerMilli = 20;
     private int mNarrowRequests = GATEWAYS;
+
+    /** Whether a third customer, which needs little, is behind the other two. */
+    private boolean mSmallCustomer;
+
     private int mPromptTokens = 3_000;
 
     /** Interval at which each gateway gets a prompt of the wide customer. */
@@ -91,6 +97,11 @@
             // "wide" sends through all gateways, "narrow" through one.
             submit(gateway, "wide", 1);
             submit(gateway, "narrow", g == 0 ? mNarrowRequests : 0);
+            if (mSmallCustomer && mMillis % (SMALL_INTERVAL_MILLIS * GATEWAYS) == 0) {
+                String id = "small-" + mRequests++;
+                gateway.submit(
+                        gateway.engineRequest(id, "small", id + "-subject", 0, SMALL_TOKENS));
+            }
             gateway.recordActions(gateway.mDispatcher.dispatchWaiting(gateway.mNow));
             startPlaced(gateway);
         }
@@ -108,7 +119,9 @@
             Placement p = gateway.mPlacements.get(i);
             mEngines.get(p.server().id()).mPendingPrefills.add(p);
             String call = gateway.mPlaced.get(i);
-            mTokens.merge(call.substring(0, call.indexOf('-')), (long) mPromptTokens, Long::sum);
+            String customer = call.substring(0, call.indexOf('-'));
+            long tokens = customer.equals("small") ? SMALL_TOKENS : mPromptTokens;
+            mTokens.merge(customer, tokens, Long::sum);
         }
         gateway.mPlacements.clear();
         gateway.mPlaced.clear();
@@ -207,11 +220,37 @@
         mPromptTokens = promptTokens;
         mLoadDelayMillis = loadDelayMillis;
         mIntervalMillis = intervalMillis;
+        assertNarrowGetsItsShare();
+    }
+
+    /**
+     * Guards against an order by chance among customers that are all far ahead of one that needs
+     * little: the one with the most gateways would win most of the races.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "30, 100, 12000",
+        "30, 100, 40000",
+        "60, 80, 24000",
+        "60, 120, 40000",
+        "100, 100, 30000"
+    })
+    void customerOfSingleGatewayGetsItsShareIfAllLargeCustomersAreFarAhead(
+            long loadDelayMillis, long intervalMillis, int promptTokens) {
+        mTokensPerMilli = 57;
+        mPromptTokens = promptTokens;
+        mLoadDelayMillis = loadDelayMillis;
+        mIntervalMillis = intervalMillis;
+        mSmallCustomer = true;
+        assertNarrowGetsItsShare();
+    }
+
+    private void assertNarrowGetsItsShare() {
         mNarrowRequests = 1;
         mGateways.forEach(
-                g -> g.mDispatcher.setLoadDelay(loadDelayMillis * DispatchScenario.MILLI));
+                g -> g.mDispatcher.setLoadDelay(mLoadDelayMillis * DispatchScenario.MILLI));
         skip();
-        long asked = WINDOW_MILLIS / intervalMillis * mPromptTokens;
+        long asked = WINDOW_MILLIS / mIntervalMillis * mPromptTokens;
         for (int window = 0; window < 4; window++) {
             runWindow();
             long wide = tokens("wide");
