Order customers far ahead by lead without keeping engines empty for long

Cause of this correction: tied the wait to whole load delays plus up to 100 ms. Now a halving adds 0.4 of the load delay, which counts from 35 to 75 ms, and the pseudo-random part is 30 ms: 100 to 180 ms at most, before 100.

--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -62,10 +62,15 @@
     private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
 
     /** Load delay until it is measured. */
-    private static final long INITIAL_LOAD_DELAY_NANOS = 30 * MILLI_NANOS;
+    private static final long INITIAL_LOAD_DELAY_NANOS = 35 * MILLI_NANOS;
 
-    /** A longer delay is that of a lost relay, for which engines must not stay empty. */
-    private static final long MAX_LOAD_DELAY_NANOS = 150 * MILLI_NANOS;
+    /**
+     * Bounds of the load delay. A longer one is that of a busy gateway or a lost relay, for which
+     * engines must not stay empty.
+     */
+    private static final long MIN_LOAD_DELAY_NANOS = 35 * MILLI_NANOS;
+
+    private static final long MAX_LOAD_DELAY_NANOS = 75 * MILLI_NANOS;
 
     private final ServerTable mServerTable;
     private final ServerChoice mChoice;
@@ -109,7 +114,7 @@
 
     /** Sets the time until the other gateways know of a placement of this one. */
     public void setLoadDelay(long nanos) {
-        mLoadDelayNanos = Math.min(nanos, MAX_LOAD_DELAY_NANOS);
+        mLoadDelayNanos = Math.max(MIN_LOAD_DELAY_NANOS, Math.min(nanos, MAX_LOAD_DELAY_NANOS));
     }
 
     /** Places, queues or refuses a new request. */
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -70,11 +70,14 @@
     /** A customer with a lower capacity fraction is far ahead of a backlogged customer. */
     private static final double FAR_AHEAD_FRACTION = 0.25;
 
-    /** Bound on the load delays in a wait for an empty engine, so that engines do not idle long. */
+    /** Increase of the wait for an empty engine each time that the lead halves the capacity. */
+    private static final double WAIT_PER_HALVING_IN_LOAD_DELAYS = 0.4;
+
+    /** Bound on the halvings that increase the wait, so that engines do not idle long. */
     private static final double MAX_WAIT_HALVINGS = 5;
 
     /** Range of the pseudo-random part of the waits for an empty engine. */
-    private static final long FAR_AHEAD_WAIT_RANGE_NANOS = 100_000_000L;
+    private static final long FAR_AHEAD_WAIT_RANGE_NANOS = 30_000_000L;
 
     /** Requests per slot of a plain server; above 1, so that no slot idles for a round trip. */
     private static final double PLAIN_REQUESTS_PER_SLOT = 1.34;
@@ -299,7 +302,8 @@
     private static long farAheadWaitNanos(Criteria c, double customerFraction, BackendServer s) {
         double halvings = Math.min(MAX_WAIT_HALVINGS, -Math.log(customerFraction) / Math.log(2));
         long draw = Rendezvous.weight(s.hash(), s.lastPendingPrefillNanos()) >>> 1;
-        return (long) (halvings * c.loadDelayNanos()) + draw % FAR_AHEAD_WAIT_RANGE_NANOS;
+        double perHalving = WAIT_PER_HALVING_IN_LOAD_DELAYS * c.loadDelayNanos();
+        return (long) (halvings * perHalving) + draw % FAR_AHEAD_WAIT_RANGE_NANOS;
     }
 
     /** Returns the longest predicted time to first token that is accepted, in milliseconds. */
