--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -61,9 +61,6 @@
 
     private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
 
-    /** Load delay until it is measured. */
-    private static final long INITIAL_LOAD_DELAY_NANOS = 35 * MILLI_NANOS;
-
     /**
      * Bounds of the load delay. A longer one is that of a busy gateway or a lost relay, for which
      * engines must not stay empty.
@@ -83,7 +80,7 @@
     private final Map<String, WaitingRequests<R>> mWaiting = new HashMap<>();
     private final Map<String, PrefillModel> mPrefillModels = new HashMap<>();
     private final DispatchHealth mHealth;
-    private long mLoadDelayNanos = INITIAL_LOAD_DELAY_NANOS;
+    private long mLoadDelayNanos = MIN_LOAD_DELAY_NANOS;
 
     /**
      * Creates a dispatcher with empty queues.
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -293,11 +293,10 @@
      * of a customer that is far ahead.
      *
      * <p>A gateway whose request has finished its prefill knows so one load delay before the
-     * others, and hears one load delay later what they sent: a wait of two delays leaves the engine
-     * to the customers that are behind. The wait grows with the lead, since several customers may
-     * be far ahead of the one that is furthest behind, and otherwise the one with the most gateways
-     * would win each race between them. The gateways of one customer wait for pseudo-random times,
-     * and see what the first one of them sent.
+     * others, so customers far ahead must not take the engine at once. The wait grows with the
+     * lead, since several customers may be far ahead of the one that is furthest behind, and
+     * otherwise the one with the most gateways would win most races between them. The gateways of
+     * one customer wait for pseudo-random times, and see what the first one of them sent.
      */
     private static long farAheadWaitNanos(Criteria c, double customerFraction, BackendServer s) {
         double halvings = Math.min(MAX_WAIT_HALVINGS, -Math.log(customerFraction) / Math.log(2));
