--- a/src/main/java/org/jacinthwharf/connection/ListeningPort.java
+++ b/src/main/java/org/jacinthwharf/connection/ListeningPort.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -26,18 +25,12 @@
     public static Channel open(
             EventLoopGroup group, InetSocketAddress address, ChannelHandler connectionHandler)
             throws IOException {
-        // By default, Netty accepts 16 connections in each run of the loop. A busy loop then leaves
-        // the others in the backlog until their callers have given up.
-        ServerChannelRecvByteBufAllocator accepts = new ServerChannelRecvByteBufAllocator();
-        accepts.maxMessagesPerRead(ACCEPT_BACKLOG);
-
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-                        .option(ChannelOption.RECVBUF_ALLOCATOR, accepts)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(connectionHandler)
                         .bind(address)
