Do not take a crash for the end of an answer without length or chunks

Cause: the close of a process that crashes looks like the end of such an answer; only a close inside an event was told apart. Now a new connection to the server decides: accepted means that the process outlived the answer, refused or no reply that it may have been cut, which resumes the stream, breaks it off, or fails a plain answer. The same holds for failures with a body. A check is no longer shared with one that began before the connection ended, since such a check proves nothing.

Ruled out: telling the two by the bytes (a whole event proves nothing), by announcements (too late), by resuming every such stream elsewhere (a prefill each). Not told apart: a server that goes on but closes between two events; the protocol calls that an end.

--- a/src/main/java/org/jacinthwharf/process/gateway/CrashCheck.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CrashCheck.java
@@ -13,13 +13,15 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 
 /**
- * Tells a crash of a backend server from a lost connection, by a new connection to its address that
- * carries no request.
+ * Tells a crash of a backend server from the end of a connection, by a new connection to its
+ * address that carries no request.
  *
- * <p>Used on the event loop only. Invariant: at most one check of an address is in progress.
+ * <p>Used on the event loop only. Invariant: the new connection is opened after all connections
+ * that it is to explain have ended, so if it is accepted, the process has outlived them.
  */
 final class CrashCheck {
     /** A crashed process is noticed within a round trip, since its VM refuses the connection. */
@@ -27,7 +29,8 @@
 
     private final EventLoopGroup mGroup;
     private final FleetMetrics mMetrics;
-    private final Map<SocketAddress, CompletableFuture<Result>> mInProgress = new HashMap<>();
+    private final EventLoop mLoop;
+    private final Map<SocketAddress, CompletableFuture<Result>> mScheduled = new HashMap<>();
 
     /** What became of the new connection. */
     enum Result {
@@ -44,20 +47,29 @@
         }
     }
 
-    CrashCheck(EventLoopGroup group, FleetMetrics metrics) {
+    CrashCheck(EventLoopGroup group, EventLoop loop, FleetMetrics metrics) {
         mGroup = group;
+        mLoop = loop;
         mMetrics = metrics;
     }
 
-    /** Returns the result of the check in progress at an address, or starts a new one. */
+    /**
+     * Opens a new connection to an address and returns what became of it; all checks of an address
+     * that are asked for in one run of the event loop share it.
+     */
     CompletableFuture<Result> check(SocketAddress address) {
-        CompletableFuture<Result> running = mInProgress.get(address);
-        if (running != null) {
-            return running;
-        }
+        return mScheduled.computeIfAbsent(
+                address,
+                a -> {
+                    CompletableFuture<Result> result = new CompletableFuture<>();
+                    mLoop.execute(() -> connect(a, result));
+                    return result;
+                });
+    }
+
+    private void connect(SocketAddress address, CompletableFuture<Result> result) {
+        mScheduled.remove(address);
         mMetrics.countEvent("crash_check");
-        CompletableFuture<Result> result = new CompletableFuture<>();
-        mInProgress.put(address, result);
         ChannelFuture connecting =
                 new Bootstrap()
                         .group(mGroup)
@@ -68,10 +80,8 @@
         connecting.addListener(
                 f -> {
                     connecting.channel().close();
-                    mInProgress.remove(address);
                     result.complete(f.isSuccess() ? Result.ACCEPTED : failure(f.cause()));
                 });
-        return result;
     }
 
     private static Result failure(Throwable cause) {
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -318,10 +319,12 @@
         }
         switch (end) {
             case COMPLETE -> {
-                if (isBrokenOffAtClose()) {
+                if (!isEndedByClose()) {
+                    onComplete();
+                } else if (isStreamCutAtClose()) {
                     onConnectionLost("the stream ended inside an event");
                 } else {
-                    onComplete();
+                    checkEndByClose();
                 }
             }
             case NOT_CONNECTED -> {
@@ -333,15 +336,54 @@
         }
     }
 
+    /** Returns whether only the close of the connection ended an answer that has a body. */
+    private boolean isEndedByClose() {
+        return mAnswer.endsWithConnection()
+                && !mAnswer.isNotRun()
+                && !mRequest.method().equals(HttpMethod.HEAD);
+    }
+
     /**
-     * Returns whether a stream that ends with its connection is incomplete: the close of a server
-     * that crashes looks like the end of such an answer.
+     * Returns whether a stream was closed inside an event, or before the first one. An attempt that
+     * resumes a stream may have nothing to add.
      */
-    private boolean isBrokenOffAtClose() {
+    private boolean isStreamCutAtClose() {
         return isStream()
                 && mAnswer.isSuccess()
-                && mAnswer.endsWithConnection()
-                && (!mAnswerBegun || mEventSplitter.isInsideEvent());
+                && (mEventSplitter.isInsideEvent() || !(mAnswerBegun || mStreaming));
+    }
+
+    /**
+     * Ends an answer that ended with its connection, unless its server has crashed: the operating
+     * system closes the connections of a crashed process in the same way. An answer whose server
+     * cannot be reached counts as cut, since a caller can repeat a failure, but not detect a
+     * truncated success.
+     */
+    private void checkEndByClose() {
+        Placement placement = mPlacement;
+        mContext.crashCheck()
+                .check(ServerPool.socketAddress(placement.server().address()))
+                .thenAccept(
+                        result -> {
+                            if (mPlacement != placement) {
+                                return; // The call has given up this attempt.
+                            }
+                            if (mEnded) {
+                                releasePlacement(Optional.empty());
+                            } else if (result == CrashCheck.Result.ACCEPTED) {
+                                onComplete();
+                            } else {
+                                onConnectionLost(
+                                        "closed by the server, new connection " + result.code());
+                            }
+                        })
+                .exceptionally(this::logFailedCheck);
+    }
+
+    private Void logFailedCheck(Throwable e) {
+        LOGGER.atSevere().withCause(e).log(
+                "event=crash_check_failed request=%s", mCallerHeaders.requestId());
+        return null;
     }
 
     private void onConnectionLost(String cause) {
@@ -376,13 +418,7 @@
                                 onFailed(RetryReason.CONNECTION_CLOSED, cause);
                             }
                         })
-                .exceptionally(
-                        e -> {
-                            LOGGER.atSevere().withCause(e).log(
-                                    "event=crash_check_failed request=%s",
-                                    mCallerHeaders.requestId());
-                            return null;
-                        });
+                .exceptionally(this::logFailedCheck);
     }
 
     private void onComplete() {
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -23,6 +23,8 @@
 
     PromptGuard promptGuard();
 
+    CrashCheck crashCheck();
+
     /** Requests a placement; the result is sent to {@code onPlaced} or {@code onRefused}. */
     void submit(ForwardedCall call, DispatchRequest request, Set<String> excluded);
 
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -85,6 +85,7 @@
     private final VersionSelector mVersionSelector;
     private final LoadExchange mLoadExchange;
     private final ServerPool mPool;
+    private final CrashCheck mCrashCheck;
     private final PromptGuard mPromptGuard;
     private final CallerRequestHandler mRequestHandler;
     private final HttpEndpoint mReadyEndpoint;
@@ -160,10 +161,11 @@
                         loop,
                         mActivity);
         mPool = new ServerPool(loop.group(), loop, metrics);
+        mCrashCheck = new CrashCheck(loop.group(), loop, metrics);
         mPromptGuard =
                 new PromptGuard(
                         mControlLinks,
-                        new CrashCheck(loop.group(), metrics),
+                        mCrashCheck,
                         mRanks::isFirst,
                         loop,
                         metrics,
@@ -402,6 +404,11 @@
         return mPromptGuard;
     }
 
+    @Override
+    public CrashCheck crashCheck() {
+        return mCrashCheck;
+    }
+
     /**
      * Returns whether new calls are refused, since the end of a planned stop might cut them off.
      */
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerAnswer.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerAnswer.java
@@ -67,6 +67,7 @@
     /** Returns whether only the close of the connection ends the body. */
     boolean endsWithConnection() {
         return status() != HttpResponseStatus.NO_CONTENT.code()
+                && status() != HttpResponseStatus.NOT_MODIFIED.code()
                 && !HttpUtil.isContentLengthSet(mHead)
                 && !HttpUtil.isTransferEncodingChunked(mHead);
     }
