Send nothing more to servers that say so in their answers

Cause: Server-Leaving and a server's Retry-After were decoded nowhere, so only an announcement took a leaving server out, and a server that turned requests away was chosen again at once.

Change: ServerStatements applies the heads of answers (cold time, named rate, leaving, pause); DispatchHealth decides, in the one place that says which servers may be chosen. Leaving holds for the incarnation and is not taken back, since heads may arrive out of order; a pause counts with status 503 only and ends after an hour at most. Answers of another server (421) change nothing, as before.

Only the gateway that got the answer acts on it: the announcement tells the others.

--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -220,14 +220,7 @@
             return false;
         }
         mAnswer = new ServerAnswer(head, answerHeaders);
-        answerHeaders
-                .coldMillis()
-                .ifPresent(
-                        m ->
-                                mPlacement
-                                        .server()
-                                        .setColdUntil(now() + TimeUnit.MILLISECONDS.toNanos(m)));
-        updateRateLimit();
+        mContext.onAnswerHead(mPlacement.server(), mAnswer);
         if (mFirstByteNanos == 0) {
             mFirstByteNanos = now();
         }
@@ -239,13 +232,6 @@
         return true;
     }
 
-    /** Applies the rate that the server names; a misdirected request reached another server. */
-    private void updateRateLimit() {
-        if (!mAnswer.isMisdirected()) {
-            mContext.onRateLimit(mPlacement.server(), mAnswer.headers().rateLimit());
-        }
-    }
-
     @Override
     public void onBody(ByteBuf data) {
         mContext.activity().onAnswerBytes(data.readableBytes());
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -1,7 +1,6 @@
 package org.jacinthwharf.process.gateway;
 
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.process.loop.EventLoop;
@@ -37,8 +36,8 @@
     /** Schedules the dispatch of waiting requests after a server has gained free capacity. */
     void onCapacityFreed();
 
-    /** Applies the rate that a server names in an answer, empty if it names none. */
-    void onRateLimit(BackendServer server, OptionalDouble rate);
+    /** Applies what a server says about itself in the head of an answer. */
+    void onAnswerHead(BackendServer server, ServerAnswer answer);
 
     /** Records the start of an attempt, before the connection to the server is known to exist. */
     void onAttemptStart(BackendServer server, DispatchRequest request);
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -8,7 +8,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -84,6 +83,7 @@
     private final VersionDriver mVersionDriver;
     private final VersionSelector mVersionSelector;
     private final LoadExchange mLoadExchange;
+    private final ServerStatements mServerStatements;
     private final ServerPool mPool;
     private final CrashCheck mCrashCheck;
     private final CrashGuard mCrashGuard;
@@ -160,6 +160,7 @@
                         mLedger,
                         loop,
                         mActivity);
+        mServerStatements = new ServerStatements(mLoadExchange, loop);
         mPool = new ServerPool(loop.group(), loop, metrics);
         mCrashCheck = new CrashCheck(loop.group(), loop, metrics);
         mCrashGuard =
@@ -465,8 +466,8 @@
     }
 
     @Override
-    public void onRateLimit(BackendServer server, OptionalDouble rate) {
-        mLoadExchange.onRateLimit(server, rate);
+    public void onAnswerHead(BackendServer server, ServerAnswer answer) {
+        mServerStatements.onAnswer(server, answer);
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/process/gateway/HeaderCodec.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/HeaderCodec.java
@@ -74,11 +74,16 @@
      * @param sealed whether the answer carries the seal that the server adds to its own answers
      * @param coldMillis remaining time of the server's cold start
      * @param rateLimit requests a second that the server takes from all gateways together
+     * @param leaving whether the server states that it is about to stop
+     * @param retryAfterMillis time until the server that rejects a request takes others from this
+     *     gateway
      */
     record AnswerHeaders(
             Optional<String> requestId,
             boolean notRun,
             boolean sealed,
             OptionalLong coldMillis,
-            OptionalDouble rateLimit) {}
+            OptionalDouble rateLimit,
+            boolean leaving,
+            OptionalLong retryAfterMillis) {}
 }
--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -42,6 +42,8 @@
     private ServerRecord mRecord = ServerRecord.getDefaultInstance();
     private long mLastReceivedNanos;
     private long mColdUntilNanos;
+    private boolean mLeaving;
+    private long mPausedUntilNanos = Long.MIN_VALUE / 2;
     private int mRunning;
     private long mPendingPrefillTokens;
     private long mHeldTokens;
@@ -128,6 +130,28 @@
         mColdUntilNanos = untilNanos;
     }
 
+    /** Records that the server said it is about to stop; returns whether that is news. */
+    public boolean setLeaving() {
+        boolean news = !mLeaving;
+        mLeaving = true;
+        return news;
+    }
+
+    /** Returns whether the server said that it is about to stop, which it never takes back. */
+    boolean isLeaving() {
+        return mLeaving;
+    }
+
+    /** Records until when the server wants no requests of this gateway. */
+    public void pauseUntil(long untilNanos) {
+        mPausedUntilNanos = Math.max(mPausedUntilNanos, untilNanos);
+    }
+
+    /** Returns whether the server wants no requests of this gateway now. */
+    boolean isPaused(long nowNanos) {
+        return nowNanos < mPausedUntilNanos;
+    }
+
     /** Returns the number of requests of this gateway that run there. */
     public int running() {
         return mRunning;
--- a/src/main/java/org/jacinthwharf/request/dispatch/DispatchHealth.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchHealth.java
@@ -44,15 +44,18 @@
     }
 
     /**
-     * Returns whether the server announces that it serves, and its failure domain is not closed.
+     * Returns whether the server announces that it serves, says nothing else in its answers, and
+     * its failure domain is not closed.
      */
     boolean isServing(BackendServer s) {
-        return s.status() == ServerStatus.SERVING && !mClosedDomains.contains(s.failureDomain());
+        return s.status() == ServerStatus.SERVING
+                && !s.isLeaving()
+                && !mClosedDomains.contains(s.failureDomain());
     }
 
-    /** Returns whether the server is serving and has announced itself recently. */
+    /** Returns whether the server is serving, has announced itself recently and is not paused. */
     boolean isAvailable(BackendServer s, long nowNanos) {
-        return isServing(s) && !isSilent(s, nowNanos);
+        return isServing(s) && !isSilent(s, nowNanos) && !s.isPaused(nowNanos);
     }
 
     /** Returns whether the server has stopped announcing itself. */
