Order customers far ahead by their leads also where the wait for an empty engine is bounded

The wait is now scaled by the lead as a fraction of the largest lead of a backlogged customer. It never gets longer.

--- a/src/main/java/org/jacinthwharf/request/admission/ServiceLedger.java
+++ b/src/main/java/org/jacinthwharf/request/admission/ServiceLedger.java
@@ -240,6 +240,19 @@
         return mBacklogged.isEmpty() ? 0 : Math.max(0, counter(customer) - smallestBacklogged());
     }
 
+    /**
+     * Returns the lead of a customer as a fraction of the largest lead of a backlogged customer; 1
+     * at most, and 0 if the customer has no lead.
+     */
+    public double relativeLead(CustomerId customer) {
+        double lead = leadOverBacklogged(customer);
+        if (lead == 0) {
+            return 0;
+        }
+        double largest = mBacklogged.stream().mapToDouble(a -> a.mCounter).max().orElse(0);
+        return Math.min(1, lead / (largest - smallestBacklogged()));
+    }
+
     private Account account(CustomerId customer) {
         return mAccounts.computeIfAbsent(customer, c -> new Account());
     }
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -352,6 +352,7 @@
                                 request,
                                 objectives,
                                 aheadTokens,
+                                mLedger.relativeLead(request.customer()),
                                 anyEngine,
                                 excluded,
                                 mLoadDelayNanos,
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -98,6 +98,7 @@
      *
      * @param aheadTokens service that the customer received beyond the backlogged customer with the
      *     least, in tokens
+     * @param relativeLead the same as a fraction of the largest that a backlogged customer received
      * @param anyEngine whether engines that have to recompute the shared prefix are allowed
      * @param excluded ids of servers that this request was sent to before
      * @param loadDelayNanos time until the other gateways know of a placement
@@ -106,6 +107,7 @@
             DispatchRequest request,
             ServiceObjectives objectives,
             double aheadTokens,
+            double relativeLead,
             boolean anyEngine,
             Set<String> excluded,
             long loadDelayNanos,
@@ -295,14 +297,17 @@
      * <p>A gateway whose request has finished its prefill knows so one load delay before the
      * others, so customers far ahead must not take the engine at once. The wait grows with the
      * lead, since several customers may be far ahead of the one that is furthest behind, and
-     * otherwise the one with the most gateways would win most races between them. The gateways of
-     * one customer wait for pseudo-random times, and see what the first one of them sent.
+     * otherwise the one with the most gateways would win most races between them. It is bounded, so
+     * it is scaled by the relative lead: the order among customers that all reach the bound is that
+     * of their leads. The gateways of one customer wait for pseudo-random times, and see what the
+     * first one of them sent.
      */
     private static long farAheadWaitNanos(Criteria c, double customerFraction, BackendServer s) {
         double halvings = Math.min(MAX_WAIT_HALVINGS, -Math.log(customerFraction) / Math.log(2));
         long draw = Rendezvous.weight(s.hash(), s.lastPendingPrefillNanos()) >>> 1;
         double perHalving = WAIT_PER_HALVING_IN_LOAD_DELAYS * c.loadDelayNanos();
-        return (long) (halvings * perHalving) + draw % FAR_AHEAD_WAIT_RANGE_NANOS;
+        return (long) (c.relativeLead() * halvings * perHalving)
+                + draw % FAR_AHEAD_WAIT_RANGE_NANOS;
     }
 
     /** Returns the longest predicted time to first token that is accepted, in milliseconds. */
