Do not take a reset for the end of a plain answer in the router

Cause: Jetty's end point turns a reset into the end of its input, which ends an answer with neither length nor chunks as if it were whole. The client's connections now close with the error and fail the answer in flight. Ruled out: telling it by the answer's headers (a close in order is a proper end). The gateway uses Netty, which keeps the two apart.

--- a/src/main/java/org/jacinthwharf/process/router/HttpFactory.java
+++ b/src/main/java/org/jacinthwharf/process/router/HttpFactory.java
@@ -60,7 +60,7 @@
 
     /** Creates a client for backend servers without starting it. */
     HttpClient newClient() {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ResetDetectingConnector();
         connector.setSelectors(1);
         connector.setExecutor(mPool);
         connector.setConnectTimeout(BackendClient.CONNECT_TIMEOUT);
