Do not take a crash for the end of a plain answer in the router

Cause: as in the gateway, the close of a server that crashes looks like the end of an answer with neither length nor chunks. Now such an answer is whole only if a new connection to the server is accepted; streams of the router name their end and need no check.

--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -17,7 +17,10 @@
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.Promise;
 import org.jacinthwharf.process.loop.EventLoop;
 
 /**
@@ -96,8 +99,7 @@
         outgoing.onResponseHeaders(
                 r -> mLoop.execute(() -> listener.onHeaders(r.getStatus(), r.getHeaders())));
         outgoing.onResponseContentAsync((r, c, more) -> forwardContent(listener, r, c, more));
-        outgoing.send(
-                result -> mLoop.execute(() -> forwardResult(listener, result, requestBegun.get())));
+        outgoing.send(result -> onResult(listener, result, requestBegun.get()));
         return reason -> outgoing.abort(new AttemptCancelledException(reason));
     }
 
@@ -115,6 +117,36 @@
                 });
     }
 
+    /**
+     * Forwards the result of an attempt, once it is known whether the server has outlived it: a
+     * crash closes connections in the same way as the end of an answer without length or chunks.
+     */
+    private void onResult(AttemptListener listener, Result result, boolean requestBegun) {
+        if (result.isSucceeded() && endsWithConnection(result)) {
+            mClient.resolveDestination(result.getRequest())
+                    .newConnection(
+                            Promise.from(
+                                    connection -> {
+                                        connection.close();
+                                        mLoop.execute(listener::onEnd);
+                                    },
+                                    failure ->
+                                            mLoop.execute(() -> listener.onFailed(true, failure))));
+        } else {
+            mLoop.execute(() -> forwardResult(listener, result, requestBegun));
+        }
+    }
+
+    private static boolean endsWithConnection(Result result) {
+        Response response = result.getResponse();
+        int status = response.getStatus();
+        return status != HttpStatus.NO_CONTENT_204
+                && status != HttpStatus.NOT_MODIFIED_304
+                && !HttpMethod.HEAD.is(result.getRequest().getMethod())
+                && !response.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+                && !response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+    }
+
     private static void forwardResult(
             AttemptListener listener, Result result, boolean requestMayHaveBeenSent) {
         if (result.isSucceeded()) {
--- a/src/test/java/org/jacinthwharf/process/router/AnswerEndsWithConnectionTest.java
+++ b/src/test/java/org/jacinthwharf/process/router/AnswerEndsWithConnectionTest.java
@@ -20,13 +20,22 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\n" + AttemptFixture.ATTEMPT_HEADERS;
     private static final String EVENT = "id: 1\ndata: a\n\n";
 
-    /** Serves one connection: sends the answer and closes, with a reset if so asked. */
-    private static void answerOnce(ServerSocket server, String answer, boolean reset) {
+    /** What a server does after it has sent its answer. */
+    private enum Finish {
+        CLOSE,
+        RESET,
+        CRASH
+    }
+
+    /** Serves one connection. A crash closes all sockets of the server in order. */
+    private static void answerOnce(ServerSocket server, String answer, Finish finish) {
         try (Socket socket = server.accept()) {
             if (socket.getInputStream().read(new byte[8 << 10]) > 0) {
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
-                if (reset) {
+                if (finish == Finish.RESET) {
                     socket.setSoLinger(true, 0);
+                } else if (finish == Finish.CRASH) {
+                    server.close();
                 }
             }
         } catch (IOException e) {
@@ -35,11 +44,11 @@
     }
 
     /** Returns how an attempt ends, and the body that was received. */
-    private static End endOf(boolean stream, String answer, boolean reset) throws Exception {
+    private static End endOf(boolean stream, String answer, Finish finish) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
                 AttemptFixture attempt = new AttemptFixture()) {
             CompletableFuture<Void> served =
-                    CompletableFuture.runAsync(() -> answerOnce(server, answer, reset));
+                    CompletableFuture.runAsync(() -> answerOnce(server, answer, finish));
             AttemptReceiver receiver = attempt.send("127.0.0.1:" + server.getLocalPort(), stream);
             AttemptEvent event = attempt.event().get(5, TimeUnit.SECONDS);
             served.get(1, TimeUnit.SECONDS);
@@ -51,14 +60,20 @@
 
     @Test
     void plainAnswerThatEndsWithItsConnectionIsWhole() throws Exception {
-        End end = endOf(false, HEAD + "\r\nthe answer", false);
+        End end = endOf(false, HEAD + "\r\nthe answer", Finish.CLOSE);
         assertThat(end.event()).isInstanceOf(AttemptEvent.AnswerComplete.class);
         assertThat(end.body()).isEqualTo("the answer");
     }
 
     @Test
     void plainAnswerThatIsResetIsNotWhole() throws Exception {
-        assertThat(endOf(false, HEAD + "\r\nthe answer", true).event())
+        assertThat(endOf(false, HEAD + "\r\nthe answer", Finish.RESET).event())
+                .isInstanceOf(AttemptEvent.ConnectionClosed.class);
+    }
+
+    @Test
+    void plainAnswerOfServerThatCrashesIsNotWhole() throws Exception {
+        assertThat(endOf(false, HEAD + "\r\nthe ans", Finish.CRASH).event())
                 .isInstanceOf(AttemptEvent.ConnectionClosed.class);
     }
 
@@ -66,10 +81,10 @@
     void streamIsWholeOnlyWithItsEndEvent() throws Exception {
         String head = HEAD + "Content-Type: text/event-stream\r\n\r\n";
         String end = "event: end\ndata: {\"events\":1}\n\n";
-        assertThat(endOf(true, head + EVENT + end, false).event())
+        assertThat(endOf(true, head + EVENT + end, Finish.CLOSE).event())
                 .isInstanceOf(AttemptEvent.AnswerComplete.class);
         for (String cut : new String[] {"", EVENT, EVENT + "event: end\nda", EVENT + "id: 2\nda"}) {
-            assertThat(endOf(true, head + cut, false).event())
+            assertThat(endOf(true, head + cut, Finish.CLOSE).event())
                     .isInstanceOf(AttemptEvent.StreamTruncated.class);
         }
     }
