Log a failure of the crash check for calls that do not wait for it

Found when reading the change: the result of the check was dropped for a lost call that is repeated at once, or that has ended, so an error in it left no line. Now it is logged as crash_check_failed, and the call counts as not suspect. CrashBetweenEventsTest, CrashingRequestTest, CrashingSegmentTest, CrashEvidenceTest, PlatformProcessesTest, ServerStatementsTest pass.

--- a/src/main/java/org/jacinthwharf/process/control/EvidenceRelay.java
+++ b/src/main/java/org/jacinthwharf/process/control/EvidenceRelay.java
@@ -13,7 +13,7 @@
 import org.jacinthwharf.wire.generated.PromptEvidence;
 
 /**
- * Merges the gateways' evidence of prompts that crash servers, and tells gateways and members.
+ * Merges the gateways' evidence of requests that crash servers, and tells gateways and members.
  *
  * <p>Used on the event loop only. Invariants: a process that connects is sent all evidence before
  * anything else that lets it send requests; only what changed is forwarded, so no message
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -411,7 +411,12 @@
                         mPlacement.server(), mAnswerBegun, mAnswer != null, now());
         // The call may end, and its request be released, before the check.
         mSubjects.request();
-        return check.thenApply(result -> mContext.crashGuard().onLost(mSubjects, lost, result));
+        return check.thenApply(result -> mContext.crashGuard().onLost(mSubjects, lost, result))
+                .exceptionally(
+                        e -> {
+                            logFailedCheck(e);
+                            return false;
+                        });
     }
 
     private void onLossExplained(boolean suspect, String cause) {
