Check a server for a crash only once a dying process has closed its sockets

Traced: the test's server closes its listening socket first, but the kernel keeps it while a thread accepts, so connections are taken for some time after close() (a small program of 3,000 such closes met "Connection reset by peer" on a new connection under the same load). A process that ends closes its sockets in turn, too, so the check could be accepted by a server that was about to be gone.

Ruled out: holding the new connection open to see it reset (servers above their number of connections reset it as well).

--- a/src/main/java/org/jacinthwharf/process/gateway/CrashCheck.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CrashCheck.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.net.SocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -27,6 +28,9 @@
     /** A crashed process is noticed within a round trip, since its VM refuses the connection. */
     private static final int TIMEOUT_MS = 400;
 
+    /** A process that ends closes its sockets one after the other, the listening one not first. */
+    private static final Duration CLOSING_TIME = Duration.ofMillis(10);
+
     private final EventLoopGroup mGroup;
     private final FleetMetrics mMetrics;
     private final EventLoop mLoop;
@@ -54,15 +58,15 @@
     }
 
     /**
-     * Opens a new connection to an address and returns what became of it; all checks of an address
-     * that are asked for in one run of the event loop share it.
+     * Opens a new connection to an address shortly, and returns what became of it; all checks of an
+     * address that are asked for until then share it.
      */
     CompletableFuture<Result> check(SocketAddress address) {
         return mScheduled.computeIfAbsent(
                 address,
                 a -> {
                     CompletableFuture<Result> result = new CompletableFuture<>();
-                    mLoop.execute(() -> connect(a, result));
+                    mLoop.schedule(CLOSING_TIME, () -> connect(a, result));
                     return result;
                 });
     }
