Find a customer's relative lead in one pass; end failed calls in one place

Behaviour is the same. - ServiceLedger.relativeLead went over the backlogged customers three times for each placement that is tried; once now. - The choice between breaking off and answering with an error stood twice in ForwardedCall (endFailed now). - CrashGuard's class comment said that nothing is fingerprinted before a crash; lost requests are, and those that outlive their call.

100 tests pass: GatewayFairnessTest (11), FairnessTest, DispatcherTest, DispatchCostTest, ServiceLedgerTest, CrashBetweenEventsTest, CrashingSegmentTest, CrashEvidenceTest, PlatformProcessesTest, ServerStatementsTest, OperatorsPageTest, ArchitectureTest.

--- a/src/main/java/org/jacinthwharf/process/gateway/CrashGuard.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CrashGuard.java
@@ -22,8 +22,8 @@
  * Protects the backend servers from requests that crash them, together with the other gateways.
  *
  * <p>Used on the event loop only. Invariants: a crash is sent to control in the run of the event
- * loop in which it is noticed, and an acquittal with the next load report; requests are
- * fingerprinted only while any gateway remembers a crash.
+ * loop in which it is noticed, and an acquittal with the next load report; while no gateway
+ * remembers a crash, only requests that are lost, or that outlive their call, are fingerprinted.
  */
 final class CrashGuard {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -428,13 +428,7 @@
             return;
         }
         mFailedAttempts++;
-        String crash = "the server crashed: " + cause;
-        if (mStreaming) {
-            abort(crash);
-        } else {
-            mCause = crash;
-            endWithError(RefusalReason.BACKEND_FAILED, 0);
-        }
+        endFailed("the server crashed: " + cause);
     }
 
     private void onComplete() {
@@ -510,7 +504,14 @@
         releasePlacement(Optional.of(false));
         if (tryAcquireRetry()) {
             retry(reason, cause);
-        } else if (mStreaming) {
+        } else {
+            endFailed(cause);
+        }
+    }
+
+    /** Breaks off an answer that has begun, or ends the request with an error. */
+    private void endFailed(String cause) {
+        if (mStreaming) {
             abort(cause);
         } else {
             mCause = cause;
--- a/src/main/java/org/jacinthwharf/request/admission/ServiceLedger.java
+++ b/src/main/java/org/jacinthwharf/request/admission/ServiceLedger.java
@@ -1,6 +1,7 @@
 package org.jacinthwharf.request.admission;
 
 import com.google.common.base.Preconditions;
+import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -245,12 +246,13 @@
      * at most, and 0 if the customer has no lead.
      */
     public double relativeLead(CustomerId customer) {
-        double lead = leadOverBacklogged(customer);
-        if (lead == 0) {
+        if (mBacklogged.isEmpty()) {
             return 0;
         }
-        double largest = mBacklogged.stream().mapToDouble(a -> a.mCounter).max().orElse(0);
-        return Math.min(1, lead / (largest - smallestBacklogged()));
+        DoubleSummaryStatistics counters =
+                mBacklogged.stream().mapToDouble(a -> a.mCounter).summaryStatistics();
+        double lead = counter(customer) - counters.getMin();
+        return lead <= 0 ? 0 : Math.min(1, lead / (counters.getMax() - counters.getMin()));
     }
 
     private Account account(CustomerId customer) {
