--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -119,7 +119,7 @@
             mReadyPort = ports[2];
             mControlPort = ports[3];
             mMetricsPort = ports[4];
-            String[] zones = {"lhr-a", "lhr-b", "fsd-a"};
+            String[] zones = {"quetzaltenango", "totonicapan", "solola"};
             for (int i = 0; i < controls; i++) {
                 mControls.add(mSubnet + (1 + i));
                 mZones.put(mSubnet + (1 + i), zones[i % zones.length]);
@@ -204,15 +204,15 @@
                     + ip
                     + "\",\"failureDomain\":\""
                     + mZones.get(ip)
-                    + "\",\"region\":\"pk-central\",\"peerPort\":"
+                    + "\",\"region\":\"occidente\",\"peerPort\":"
                     + mPeerPort
                     + ",\"seeds\":["
                     + seeds
                     + "],\"mayFound\":"
                     + bootstrap
                     + (front ? "" : ",\"dataFolder\":\"" + mFolder.resolve("data-" + ip) + "\"")
-                    + ",\"regions\":{\"lhr-a\":\"pk-central\",\"lhr-b\":\"pk-central\","
-                    + "\"fsd-a\":\"pk-central\"},\"listen\":{\"http\":\""
+                    + ",\"regions\":{\"quetzaltenango\":\"occidente\",\"totonicapan\":\"occidente\","
+                    + "\"solola\":\"occidente\"},\"listen\":{\"http\":\""
                     + ip
                     + ":"
                     + (front ? mFrontPort : mControlPort)
@@ -223,7 +223,7 @@
                     + ":"
                     + mMetricsPort
                     + "\"},\"bounds\":{\"announceMillis\":1200,\"stopGraceMillis\":8000,"
-                    + "\"retryRatio\":0.2,\"retryWindowMillis\":10000,\"retrySlack\":54}}";
+                    + "\"retryRatio\":0.2,\"retryWindowMillis\":10000,\"retrySlack\":52}}";
         }
 
         /** Starts a process again that ended by itself, as the platform does, and counts its ends. */
--- a/review/src/ManyChanges.java
+++ b/review/src/ManyChanges.java
@@ -81,7 +81,7 @@
             }
             record.say(
                     "last version acknowledged: %d; without an ack for ackMs: %d", acked, unacked);
-            int evacuation = fleet.orderUntilClear("POST", "/Evacuate.Start/lhr-b", "", 4_000);
+            int evacuation = fleet.orderUntilClear("POST", "/Evacuate.Start/totonicapan", "", 4_000);
             record.say("Evacuate.Start after it: %d", evacuation);
             record.say(
                     "desired state read back: %.14s; processes that ended by themselves: %d",
--- a/review/src/OddEntry.java
+++ b/review/src/OddEntry.java
@@ -26,7 +26,7 @@
             if (Kit.trouble()) {
                 String report =
                         "{\"service\":\"trade\",\"addr\":\"[fe80::5054:ff:fe12:3456%ens5]:8080\","
-                                + "\"zone\":\"lhr-a\",\"version\":\"v1\",\"slots\":6,"
+                                + "\"zone\":\"quetzaltenango\",\"version\":\"v1\",\"slots\":6,"
                                 + "\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":"
                                 + System.currentTimeMillis()
                                 + "}";
--- a/review/src/RolloutIds.java
+++ b/review/src/RolloutIds.java
@@ -29,8 +29,8 @@
             Load load = new Load(fleet, record);
             load.start(Stock.REQUESTERS, RolloutIds::newId);
             Kit.pause(8_000);
-            replicas.add(new Kit.Replica(fleet, "i-new1", "trade", "v2", "lhr-a", 6));
-            replicas.add(new Kit.Replica(fleet, "i-new2", "trade", "v2", "lhr-b", 6));
+            replicas.add(new Kit.Replica(fleet, "i-new1", "trade", "v2", "quetzaltenango", 6));
+            replicas.add(new Kit.Replica(fleet, "i-new2", "trade", "v2", "totonicapan", 6));
             Kit.pause(2_000);
             record.say("before: sent=%d served=%d", load.mSent.get(), load.mServed.get());
             if (load.hasFailed()) {
--- a/review/src/Stock.java
+++ b/review/src/Stock.java
@@ -19,8 +19,8 @@
             throw new Kit.CouldNotRun("no ack of the first desired state");
         }
         List<Kit.Replica> replicas = new ArrayList<>();
-        replicas.add(new Kit.Replica(fleet, "i-old1", "trade", "v1", "lhr-a", 6));
-        replicas.add(new Kit.Replica(fleet, "i-old2", "trade", "v1", "lhr-b", 6));
+        replicas.add(new Kit.Replica(fleet, "i-old1", "trade", "v1", "quetzaltenango", 6));
+        replicas.add(new Kit.Replica(fleet, "i-old2", "trade", "v1", "totonicapan", 6));
         Kit.await("ready fronts", 20_000, () -> fleet.isReady(0) && fleet.isReady(1));
         Kit.pause(3_000);
         return replicas;
--- a/review/src/TenantName.java
+++ b/review/src/TenantName.java
@@ -36,8 +36,8 @@
             if (fleet.orderUntilClear("POST", "/Config.Put", first, 30_000) != 200) {
                 throw new Kit.CouldNotRun("no ack of the first desired state");
             }
-            Kit.Replica one = new Kit.Replica(fleet, "i-1", "ledger", "v1", "lhr-a", 6);
-            Kit.Replica two = new Kit.Replica(fleet, "i-2", "ledger", "v1", "lhr-b", 6);
+            Kit.Replica one = new Kit.Replica(fleet, "i-1", "ledger", "v1", "quetzaltenango", 6);
+            Kit.Replica two = new Kit.Replica(fleet, "i-2", "ledger", "v1", "totonicapan", 6);
             Kit.await("ready fronts", 20_000, () -> fleet.isReady(0) && fleet.isReady(1));
             Kit.pause(3_000);
             Counts before = load(fleet, record, OLD_KEY, 5_000);
--- a/review/src/Uploads.java
+++ b/review/src/Uploads.java
@@ -44,7 +44,7 @@
             }
             for (int i = 0; i < 4; i++) {
                 replicas.add(
-                        new Kit.Replica(fleet, "i-" + i, "ledger", "v1", i % 2 == 0 ? "lhr-a" : "lhr-b", 12));
+                        new Kit.Replica(fleet, "i-" + i, "ledger", "v1", i % 2 == 0 ? "quetzaltenango" : "totonicapan", 12));
             }
             Kit.await("ready fronts", 20_000, () -> fleet.isReady(0) && fleet.isReady(1));
             Kit.pause(3_000);
