--- a/review/src/Stock.java
+++ b/review/src/Stock.java
@@ -1,7 +1,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The service of some cases: two replicas of six slots, and somewhat more demand than they take. */
+/** The service of some cases: two replicas of six slots, and more demand than they take. */
 final class Stock {
     static final int REQUESTERS = 48;
 
--- a/review/src/Uploads.java
+++ b/review/src/Uploads.java
@@ -14,6 +14,7 @@
     private static final int TIMEOUT_MILLIS = 3_000;
     private static final String KEY = "asnmgkcuyj8pjbvk9m68";
     private static final int UPLOADERS = 20;
+    private static final int SMALL = 12;
 
     private Uploads() {}
 
@@ -43,8 +44,8 @@
                 throw new Kit.CouldNotRun("no ack of the first desired state");
             }
             for (int i = 0; i < 4; i++) {
-                replicas.add(
-                        new Kit.Replica(fleet, "i-" + i, "ledger", "v1", i % 2 == 0 ? "quetzaltenango" : "totonicapan", 12));
+                String zone = i % 2 == 0 ? "quetzaltenango" : "totonicapan";
+                replicas.add(new Kit.Replica(fleet, "i-" + i, "ledger", "v1", zone, 12));
             }
             Kit.await("ready fronts", 20_000, () -> fleet.isReady(0) && fleet.isReady(1));
             Kit.pause(3_000);
@@ -52,50 +53,54 @@
             fleet.watch(ends);
             boolean[] stop = {false};
             List<Thread> threads = new ArrayList<>();
-            for (int i = 0; i < 12 + UPLOADERS; i++) {
-                boolean upload = i >= 12;
-                boolean read = i % 2 == 0;
-                Thread t =
-                        new Thread(
-                                () -> {
-                                    Kit.Requester r = new Kit.Requester(fleet.front(0));
-                                    if (upload) {
-                                        Kit.pause(4_000);
-                                    }
-                                    while (!stop[0]) {
-                                        String id = UUID.randomUUID().toString();
-                                        sent.incrementAndGet();
-                                        Kit.Result a =
-                                                r.send(
-                                                        "POST",
-                                                        "shop.example",
-                                                        read ? "/read/1" : "/hire/1",
-                                                        id,
-                                                        Map.of("Key", KEY, "Deadline-Ms", "" + TIMEOUT_MILLIS),
-                                                        new byte[upload ? bytes : 600],
-                                                        TIMEOUT_MILLIS + 700);
-                                        record.line(
-                                                "sent %s %s: %s %d after %d ms",
-                                                upload ? "large" : "small", id, a.seen(), a.status(), a.millis());
-                                        outcomes.computeIfAbsent(
-                                                        (upload ? "large " : "small ") + a.seen() + " " + a.status(),
-                                                        k -> new AtomicInteger())
-                                                .incrementAndGet();
-                                        if (a.millis() >= TIMEOUT_MILLIS) {
-                                            late.incrementAndGet();
-                                        }
-                                        if (a.seen() == Kit.Seen.NOTHING) {
-                                            unanswered.incrementAndGet();
-                                        }
-                                        if (a.seen() == Kit.Seen.CLOSED) {
-                                            cut.add(id);
-                                        }
-                                        if (upload) {
-                                            return; // One upload each.
-                                        }
-                                        Kit.pause(a.retryMillis());
-                                    }
-                                });
+            for (int i = 0; i < SMALL + UPLOADERS; i++) {
+                boolean upload = i >= SMALL;
+                String path = i % 2 == 0 ? "/read/1" : "/hire/1";
+                Runnable requester =
+                        () -> {
+                            Kit.Requester r = new Kit.Requester(fleet.front(0));
+                            byte[] content = new byte[upload ? bytes : 600];
+                            if (upload) {
+                                Kit.pause(4_000);
+                            }
+                            while (!stop[0]) {
+                                String id = UUID.randomUUID().toString();
+                                sent.incrementAndGet();
+                                Map<String, String> headers =
+                                        Map.of("Key", KEY, "Deadline-Ms", "" + TIMEOUT_MILLIS);
+                                Kit.Result a =
+                                        r.send(
+                                                "POST",
+                                                "shop.example",
+                                                path,
+                                                id,
+                                                headers,
+                                                content,
+                                                TIMEOUT_MILLIS + 700);
+                                String kind = upload ? "large" : "small";
+                                record.line(
+                                        "sent %s %s: %s %d after %d ms",
+                                        kind, id, a.seen(), a.status(), a.millis());
+                                outcomes.computeIfAbsent(
+                                                kind + " " + a.seen() + " " + a.status(),
+                                                k -> new AtomicInteger())
+                                        .incrementAndGet();
+                                if (a.millis() >= TIMEOUT_MILLIS) {
+                                    late.incrementAndGet();
+                                }
+                                if (a.seen() == Kit.Seen.NOTHING) {
+                                    unanswered.incrementAndGet();
+                                }
+                                if (a.seen() == Kit.Seen.CLOSED) {
+                                    cut.add(id);
+                                }
+                                if (upload) {
+                                    return; // One upload each.
+                                }
+                                Kit.pause(a.retryMillis());
+                            }
+                        };
+                Thread t = new Thread(requester);
                 t.setDaemon(true);
                 threads.add(t);
                 t.start();
@@ -111,7 +116,9 @@
                             .count();
             record.say("outcomes %s", new java.util.TreeMap<>(outcomes));
             record.say(
-                    "sent=%d closed=%d of which passed on=%d; not answered at timeout=%d, nor half a second later=%d; ends of processes=%d",
+                    "sent=%d closed without an answer=%d, of which passed on to a replica=%d; not"
+                            + " answered at the route's timeout=%d, nor half a second later=%d;"
+                            + " ends of processes=%d",
                     sent.get(), cut.size(), lost, late.get(), unanswered.get(), ends.get());
             for (String ip : fleet.mFronts) {
                 fleet.recordLog(ip, "OutOf|invariant|Exception", 5);
