--- a/src/main/java/org/jacinthwharf/connection/HttpEndpoint.java
+++ b/src/main/java/org/jacinthwharf/connection/HttpEndpoint.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
@@ -25,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.jacinthwharf.id.LogText;
 
 /**
  * Serves an HTTP API of the process itself: readiness, metrics, operator calls, announcements.
@@ -36,13 +36,18 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** Larger than a routing table with thousands of routes. */
-    private static final int MAX_BODY_BYTES = 16 << 20;
+    private static final int MAX_BODY_BYTES = 8 << 20;
+
+    /** Bound on the bodies of all connections, of which up to eight large ones may come at once. */
+    private static final long MAX_BODIES_BYTES = 24 << 20;
 
     /** Longer than the interval of announcements, so that their connections stay open. */
     private static final int IDLE_TIMEOUT_SECONDS = 30;
 
     private final EventLoopGroup mGroup;
     private final Function<HttpCall, CompletableFuture<HttpAnswer>> mService;
+    private final Uploads mUploads =
+            new Uploads(new BufferBudget(MAX_BODIES_BYTES), System::nanoTime);
     private Channel mListener;
 
     /**
@@ -81,14 +86,23 @@
                     .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
                     .addLast(new HttpServerCodec())
                     .addLast(new HttpServerKeepAliveHandler())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new RequestAssembler(mUploads, MAX_BODY_BYTES))
                     .addLast(new CallHandler());
         }
     }
 
-    private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class CallHandler extends SimpleChannelInboundHandler<Object> {
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        protected void channelRead0(ChannelHandlerContext context, Object message) {
+            if (message instanceof RefusedUpload u) {
+                boolean tooLarge = u.cause() == RefusedUpload.Cause.TOO_LARGE;
+                write(context, HttpAnswer.text(tooLarge ? 413 : 503, "body not read\n"));
+            } else if (message instanceof FullHttpRequest request) {
+                onRequest(context, request);
+            }
+        }
+
+        private void onRequest(ChannelHandlerContext context, FullHttpRequest request) {
             if (request.decoderResult().isFailure()) {
                 write(context, HttpAnswer.text(400, "malformed request\n"));
                 return;
@@ -98,7 +112,7 @@
                             request.method().name(),
                             HttpCall.stripQuery(request.uri()),
                             ByteBufUtil.getBytes(request.content()));
-            mService.apply(call)
+            apply(call)
                     .whenComplete(
                             (answer, failure) ->
                                     context.executor()
@@ -109,6 +123,15 @@
                                                                     failure)));
         }
 
+        /** Calls the service; an exception that it throws fails this call only. */
+        private CompletableFuture<HttpAnswer> apply(HttpCall call) {
+            try {
+                return mService.apply(call);
+            } catch (RuntimeException e) {
+                return CompletableFuture.failedFuture(e);
+            }
+        }
+
         private void complete(
                 ChannelHandlerContext context,
                 HttpCall call,
@@ -116,7 +139,8 @@
                 Throwable failure) {
             if (failure != null) {
                 LOGGER.atWarning().withCause(failure).log(
-                        "event=call_failed method=%s path=%s", call.method(), call.path());
+                        "event=call_failed method=%s path=%s",
+                        LogText.of(call.method()), LogText.of(call.path()));
             }
             write(context, failure == null ? answer : HttpAnswer.text(503, "failed\n"));
         }
--- a/src/main/java/org/jacinthwharf/connection/LinkHandler.java
+++ b/src/main/java/org/jacinthwharf/connection/LinkHandler.java
@@ -8,6 +8,7 @@
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.loop.EventLoop;
@@ -31,13 +32,25 @@
     private final EventLoop mLoop;
     private final LinkListener mListener;
     private final FleetMetrics mMetrics;
+    private final Predicate<Envelope> mHasRoomFor;
     private Optional<Link> mLink = Optional.empty();
 
-    LinkHandler(Hello self, EventLoop loop, LinkListener listener, FleetMetrics metrics) {
+    /**
+     * Creates the handler of one channel.
+     *
+     * @param hasRoomFor whether a message may be sent, in view of the unsent bytes of all links
+     */
+    LinkHandler(
+            Hello self,
+            EventLoop loop,
+            LinkListener listener,
+            FleetMetrics metrics,
+            Predicate<Envelope> hasRoomFor) {
         mSelf = self;
         mLoop = loop;
         mListener = listener;
         mMetrics = metrics;
+        mHasRoomFor = hasRoomFor;
     }
 
     @Override
@@ -51,7 +64,22 @@
         switch (message.getPayloadCase()) {
             case HELLO -> open(context.channel(), message.getHello());
             case HEARTBEAT -> {}
-            default -> mLink.ifPresent(l -> mLoop.execute(() -> mListener.onMessage(l, message)));
+            default -> mLink.ifPresent(l -> mLoop.execute(() -> deliver(l, message)));
+        }
+    }
+
+    private void deliver(Link link, Envelope message) {
+        try {
+            mListener.onMessage(link, message);
+        } catch (RuntimeException e) {
+            if (!mListener.isContained(message)) {
+                throw e;
+            }
+            mMetrics.countEvent("message_fault");
+            LOGGER.atSevere().withCause(e).log(
+                    "event=message_fault peer=%s payload=%s",
+                    link.peer().getVmId(), message.getPayloadCase());
+            link.close();
         }
     }
 
@@ -128,7 +156,7 @@
 
         @Override
         public boolean send(Envelope message) {
-            if (!mChannel.isActive() || !mChannel.isWritable()) {
+            if (!mChannel.isActive() || !mChannel.isWritable() || !mHasRoomFor.test(message)) {
                 return false;
             }
             countBytes("out", message);
--- a/src/main/java/org/jacinthwharf/connection/LinkListener.java
+++ b/src/main/java/org/jacinthwharf/connection/LinkListener.java
@@ -10,6 +10,15 @@
     /** Called for each message except hello and heartbeat. */
     void onMessage(Link link, Envelope message);
 
+    /**
+     * Returns whether an exception in {@link #onMessage} concerns the message alone: the link is
+     * closed then, since what the message said is sent again with the next one. Otherwise the
+     * exception stops the process, since the state that the message changes cannot be trusted.
+     */
+    default boolean isContained(Envelope message) {
+        return false;
+    }
+
     /** Called once after {@link #onUp}, when the link has closed for any reason. */
     void onDown(Link link);
 }
--- a/src/main/java/org/jacinthwharf/connection/Links.java
+++ b/src/main/java/org/jacinthwharf/connection/Links.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
@@ -48,9 +49,17 @@
     // A snapshot of the control state is sent in one frame.
     private static final int MAX_FRAME_BYTES = 64 << 20;
     private static final int FRAME_LENGTH_BYTES = 4;
-    // Above the high-water mark messages are dropped; protocols resend those that matter.
+    // Above the high-water mark messages are dropped; protocols resend those that matter. Below it
+    // one message of any size is accepted.
     private static final WriteBufferWaterMark SEND_BUFFER =
-            new WriteBufferWaterMark(1 << 20, 80 << 20);
+            new WriteBufferWaterMark(1 << 20, 4 << 20);
+
+    /** Bound on the unsent bytes of all links, above which large messages are dropped. */
+    private static final long MAX_UNSENT_BYTES = 16 << 20;
+
+    /** Messages that make up nearly all bytes: configurations and snapshots. */
+    private static final int LARGE_MESSAGE_BYTES = 64 << 10;
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Hello mSelf;
@@ -183,6 +192,23 @@
         }
     }
 
+    /**
+     * Returns whether a message may be sent. A large one is sent in any case if nothing else waits,
+     * so that a snapshot of any size arrives.
+     */
+    private boolean hasRoomFor(Envelope message) {
+        if (message.getSerializedSize() <= LARGE_MESSAGE_BYTES) {
+            return true;
+        }
+        long unsent = mChannels.stream().mapToLong(Links::unsentBytes).sum();
+        return unsent == 0 || unsent + message.getSerializedSize() <= MAX_UNSENT_BYTES;
+    }
+
+    private static long unsentBytes(Channel channel) {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     private void initPipeline(Channel channel, LinkListener listener) {
         mChannels.add(channel);
         channel.closeFuture().addListener(f -> mChannels.remove(channel));
@@ -199,6 +225,6 @@
                 .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
                 .addLast(new LengthFieldPrepender(FRAME_LENGTH_BYTES))
                 .addLast(new ProtobufEncoder())
-                .addLast(new LinkHandler(mSelf, mLoop, listener, mMetrics));
+                .addLast(new LinkHandler(mSelf, mLoop, listener, mMetrics, this::hasRoomFor));
     }
 }
--- a/src/main/java/org/jacinthwharf/process/control/ConfigurationPublisher.java
+++ b/src/main/java/org/jacinthwharf/process/control/ConfigurationPublisher.java
@@ -32,10 +32,10 @@
     static final Duration CONFIRMATION_VALIDITY = PUSH_INTERVAL.multipliedBy(2);
 
     /**
-     * About 500 KB at 500 bytes per delta; a router that is further behind gets the full
-     * configuration.
+     * Bound on the encoded deltas that are kept. Parsed they take about four times as much, still a
+     * small part of the heap, and a router that is further behind gets the full configuration.
      */
-    static final int MAX_RETAINED_DELTAS = 1_000;
+    static final long MAX_RETAINED_BYTES = 1 << 20;
 
     private final ControlStateMachine mState;
     private final ReplicatedLog mLog;
@@ -44,6 +44,7 @@
     private final Map<Link, Boolean> mSubscribers = new LinkedHashMap<>();
     private final TreeMap<String, Long> mReportedRevisions = new TreeMap<>();
     private final Map<String, Link> mRouterLinks = new HashMap<>();
+    private long mRetainedBytes;
     private long mRevisionFloor;
     private long mConfirmedRevision = -1;
     private long mConfirmedNanos;
@@ -58,8 +59,9 @@
     @Override
     public void onChange(ConfigurationDelta delta) {
         mDeltas.put(mState.revision(), delta);
-        if (mDeltas.size() > MAX_RETAINED_DELTAS) {
-            mDeltas.pollFirstEntry();
+        mRetainedBytes += delta.getSerializedSize();
+        while (mRetainedBytes > MAX_RETAINED_BYTES) {
+            mRetainedBytes -= mDeltas.pollFirstEntry().getValue().getSerializedSize();
         }
         mSubscribers.forEach(
                 (link, withContent) -> {
@@ -72,6 +74,7 @@
     @Override
     public void onRestore() {
         mDeltas.clear();
+        mRetainedBytes = 0;
         mSubscribers.forEach((link, withContent) -> sendChangesSince(link, 0, withContent));
     }
 
@@ -158,6 +161,11 @@
                 && mLoop.nowNanos() - mConfirmedNanos < CONFIRMATION_VALIDITY.toNanos();
     }
 
+    /** Returns the encoded size of the deltas that are kept. */
+    long retainedBytes() {
+        return mRetainedBytes;
+    }
+
     /** Returns whether a leader recently confirmed that the configuration here is current. */
     public boolean isConfirmed() {
         return confirmed();
--- a/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
@@ -27,6 +27,9 @@
 public final class ControlStateMachine implements StateMachine {
     static final int MAX_RETAINED_REPLIES = 10_000;
 
+    /** Bounds a retained reply, whose detail may quote a value of any length. */
+    private static final int MAX_DETAIL_LENGTH = 256;
+
     private final Claims mClaims;
     private final ClaimClock mClock = new ClaimClock();
     private final ConfigurationState mState = new ConfigurationState();
@@ -121,7 +124,7 @@
                 .setCommandId(command.getCommandId())
                 .setResult(result)
                 .setRevision(mState.revision())
-                .setDetail(detail);
+                .setDetail(detail.substring(0, Math.min(MAX_DETAIL_LENGTH, detail.length())));
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
+++ b/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.jacinthwharf.connection.Link;
+import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.membership.ServerDirectory;
 import org.jacinthwharf.process.membership.ServerRecordCheck;
@@ -162,7 +163,7 @@
 
     void sendRefreshed() {
         long now = mLoop.nowNanos();
-        mDirectory.expireTombstones(now);
+        mDirectory.expire(now);
         sendRecords(mRefreshed, mSubscribers.keySet(), now);
         mRefreshedByMembers.removeAll(mRefreshed);
         mRefreshed.clear();
@@ -243,11 +244,11 @@
                         + " sequence=%d cold_s=%d",
                 event,
                 r.getServer(),
-                r.getService(),
+                LogText.of(r.getService()),
                 r.getAddress(),
                 r.getStatus(),
-                r.getVersion(),
-                r.getFailureDomain(),
+                LogText.of(r.getVersion()),
+                LogText.of(r.getFailureDomain()),
                 r.getBornMillis(),
                 r.getSequence(),
                 TimeUnit.MILLISECONDS.toSeconds(r.getColdLeftMillis()));
--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -240,6 +240,23 @@
             }
         }
 
+        /** Messages of consensus change state that must be the same on all members. */
+        @Override
+        public boolean isContained(Envelope message) {
+            return switch (message.getPayloadCase()) {
+                case DIRECTORY_UPDATE,
+                        DIRECTORY_ACK,
+                        GATEWAY_LOAD,
+                        PROMPT_EVIDENCE,
+                        CONTROL_MEMBERS,
+                        REVISION_REPORT,
+                        SUBSCRIBE,
+                        VERSION_EVIDENCE ->
+                        true;
+                default -> false;
+            };
+        }
+
         private void onMembers(ControlMembers members) {
             // This is how a process whose seeds are out of date discovers the members of the group.
             List<VmId> discovered = new ArrayList<>();
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
@@ -23,6 +23,8 @@
 import java.util.ArrayDeque;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.jacinthwharf.connection.RefusedUpload;
+import org.jacinthwharf.connection.RequestAssembler;
 
 /**
  * One connection from a caller, with one request in flight and a few pipelined ones.
@@ -43,6 +45,16 @@
     interface RequestHandler {
         /** Handles a request and releases it. */
         CallerListener onRequest(FullHttpRequest request, CallerConnection caller);
+
+        /** Answers a request whose body is not read. */
+        default void onRefusedUpload(RefusedUpload upload, CallerConnection caller) {
+            caller.close();
+        }
+
+        /** Answers a request whose handling failed before it was sent to a server. */
+        default void onFault(FullHttpRequest request, CallerConnection caller) {
+            caller.close();
+        }
     }
 
     /** Receives changes of the state of the caller of a request in flight. */
@@ -57,7 +69,10 @@
     private final RequestHandler mHandler;
     private final BooleanSupplier mDraining;
     private final Consumer<CallerConnection> mOnClosed;
-    private final ArrayDeque<FullHttpRequest> mPipelined = new ArrayDeque<>();
+
+    /** Each is a {@code FullHttpRequest} or a {@link RefusedUpload}. */
+    private final ArrayDeque<Object> mPipelined = new ArrayDeque<>();
+
     private Channel mChannel;
     private CallerListener mCurrentListener;
     private boolean mBusy;
@@ -83,11 +98,11 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (!(message instanceof FullHttpRequest request)) {
+        if (!(message instanceof FullHttpRequest || message instanceof RefusedUpload)) {
             ReferenceCountUtil.release(message);
             return;
         }
-        mPipelined.addLast(request);
+        mPipelined.addLast(message);
         if (mPipelined.size() >= MAX_PIPELINED) {
             mChannel.config().setAutoRead(false);
         }
@@ -123,21 +138,37 @@
 
     private void handleNext() {
         while (!mBusy && !mPipelined.isEmpty() && mChannel.isActive()) {
-            FullHttpRequest request = mPipelined.removeFirst();
+            Object next = mPipelined.removeFirst();
             mBusy = true;
-            if (request.decoderResult().isFailure()) {
-                refuseMalformed(request);
-                return;
+            if (next instanceof RefusedUpload upload) {
+                mKeepAlive = HttpUtil.isKeepAlive(upload.head());
+                mHandler.onRefusedUpload(upload, this);
+            } else if (next instanceof FullHttpRequest request) {
+                handle(request);
             }
-            mKeepAlive = HttpUtil.isKeepAlive(request);
+        }
+        if (mPipelined.isEmpty() && !mChannel.config().isAutoRead()) {
+            mChannel.config().setAutoRead(true);
+        }
+    }
+
+    private void handle(FullHttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            refuseMalformed(request);
+            return;
+        }
+        mKeepAlive = HttpUtil.isKeepAlive(request);
+        try {
             CallerListener call = mHandler.onRequest(request, this);
             // The answer may have been written already.
             if (mBusy) {
                 mCurrentListener = call;
             }
-        }
-        if (mPipelined.isEmpty() && !mChannel.config().isAutoRead()) {
-            mChannel.config().setAutoRead(true);
+        } catch (RuntimeException e) {
+            LOGGER.atSevere().withCause(e).log("event=request_fault");
+            // A call contains its own faults, so none has begun, and nothing was sent.
+            mHandler.onFault(request, this);
+            ReferenceCountUtil.safeRelease(request);
         }
     }
 
@@ -185,7 +216,8 @@
     }
 
     private void setConnectionHeaders(HttpResponse response) {
-        mKeepAlive &= !mDraining.getAsBoolean();
+        // Requests that were read already are answered before the connection is closed.
+        mKeepAlive &= !mDraining.getAsBoolean() || !mPipelined.isEmpty();
         response.headers().remove(HttpHeaderNames.CONNECTION).remove("Keep-Alive");
         if (!mKeepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -209,6 +241,12 @@
         return mBusy || !mPipelined.isEmpty() ? Long.MAX_VALUE : mIdleSinceNanos;
     }
 
+    /** Returns whether a part of a request has arrived whose rest is due. */
+    boolean isReceiving() {
+        RequestAssembler assembler = mChannel.pipeline().get(RequestAssembler.class);
+        return assembler != null && assembler.isReceiving();
+    }
+
     /** Closes an idle connection. */
     void close() {
         mChannel.close();
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerPipeline.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerPipeline.java
@@ -5,10 +5,11 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.jacinthwharf.connection.RequestAssembler;
+import org.jacinthwharf.connection.Uploads;
 import org.jacinthwharf.request.dispatch.RouteTable;
 import org.jacinthwharf.wire.generated.CallerLimits;
 
@@ -18,12 +19,19 @@
     private static final int DEFAULT_BODY_BYTES = 4 << 20;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
-    /** Bound on reads of one connection in a run of the event loop. */
+    /**
+     * Bounds on what is read of one connection in a run of the event loop, so that a caller that
+     * sends tiny chunks does not hold up the others.
+     */
     private static final int MAX_READS = 16;
 
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 << 10;
+    private static final int MAX_READ_BYTES = 8 << 10;
+
     /** Reads until nothing is left, so that the end of the connection is seen with the request. */
     private static final RecvByteBufAllocator READ_TO_END =
-            new AdaptiveRecvByteBufAllocator()
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
                     .respectMaybeMoreData(false)
                     .maxMessagesPerRead(MAX_READS);
 
@@ -31,16 +39,19 @@
     private final CallerConnection.RequestHandler mHandler;
     private final BooleanSupplier mDraining;
     private final Set<CallerConnection> mCallers;
+    private final Uploads mUploads;
 
     CallerPipeline(
             GatewayConfiguration configuration,
             CallerConnection.RequestHandler handler,
             BooleanSupplier draining,
-            Set<CallerConnection> callers) {
+            Set<CallerConnection> callers,
+            Uploads uploads) {
         mConfiguration = configuration;
         mHandler = handler;
         mDraining = draining;
         mCallers = callers;
+        mUploads = uploads;
     }
 
     @Override
@@ -63,8 +74,8 @@
         channel.pipeline()
                 .addLast(new HttpServerCodec(config))
                 .addLast(
-                        new HttpObjectAggregator(
-                                orDefault(limits.getBodyBytes(), DEFAULT_BODY_BYTES)))
+                        new RequestAssembler(
+                                mUploads, orDefault(limits.getBodyBytes(), DEFAULT_BODY_BYTES)))
                 .addLast(caller);
     }
 
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
@@ -14,7 +15,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jacinthwharf.connection.HttpCall;
+import org.jacinthwharf.connection.RefusedUpload;
 import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.request.dispatch.DispatchRequest;
 import org.jacinthwharf.request.dispatch.FleetRetryBudget;
@@ -42,6 +45,9 @@
     /** Short, since another gateway can accept the request at once. */
     private static final long OTHER_RETRY_MILLIS = 50;
 
+    /** Time in which the bodies that hold the memory are sent on, or found to have stalled. */
+    private static final long UPLOAD_RETRY_MILLIS = 1_000;
+
     /** A day: sums with a longer timeout of a route or caller may overflow. */
     private static final long MAX_TIMEOUT_MILLIS = 86_400_000L;
 
@@ -118,6 +124,28 @@
         return call;
     }
 
+    @Override
+    public void onRefusedUpload(RefusedUpload upload, CallerConnection caller) {
+        RefusalReason reason =
+                switch (upload.cause()) {
+                    case TOO_LARGE -> RefusalReason.BODY_TOO_LARGE;
+                    case NO_MEMORY -> RefusalReason.GATEWAY_BUSY;
+                    case STALLED -> RefusalReason.BODY_TOO_SLOW;
+                };
+        refuse(
+                upload.head(),
+                caller,
+                mProcess.headerCodec().parseCallerHeaders(upload.head().headers()),
+                reason,
+                upload.cause() == RefusedUpload.Cause.TOO_LARGE ? 0 : UPLOAD_RETRY_MILLIS);
+    }
+
+    @Override
+    public void onFault(FullHttpRequest request, CallerConnection caller) {
+        mProcess.metrics().countEvent("request_fault");
+        caller.answer(emptyAnswer(RefusalReason.INTERNAL_FAULT));
+    }
+
     private ForwardedCall newCall(
             FullHttpRequest request,
             CallerConnection caller,
@@ -191,24 +219,36 @@
             HeaderCodec.CallerHeaders callerHeaders,
             RefusalReason reason,
             long retryMillis) {
+        refuse((HttpRequest) request, caller, callerHeaders, reason, retryMillis);
+        request.release();
+        return NO_OP_LISTENER;
+    }
+
+    private void refuse(
+            HttpRequest request,
+            CallerConnection caller,
+            HeaderCodec.CallerHeaders callerHeaders,
+            RefusalReason reason,
+            long retryMillis) {
         LOGGER.atInfo().log(
                 "event=call_refused request=%s reason=%s host=%s path=%s",
-                callerHeaders.requestId(),
+                LogText.of(callerHeaders.requestId()),
                 reason.code(),
-                request.headers().get(HttpHeaderNames.HOST, ""),
-                HttpCall.stripQuery(request.uri()));
-        request.release();
+                LogText.of(request.headers().get(HttpHeaderNames.HOST, "")),
+                LogText.of(HttpCall.stripQuery(request.uri())));
         mProcess.metrics().countRefusal(reason);
-        FullHttpResponse answer =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(reason.status()),
-                        Unpooled.EMPTY_BUFFER);
+        FullHttpResponse answer = emptyAnswer(reason);
         mProcess.headerCodec()
                 .writeRefusal(
                         answer.headers(), callerHeaders.requestId(), reason.code(), retryMillis);
         caller.answer(answer);
-        return NO_OP_LISTENER;
+    }
+
+    private static FullHttpResponse emptyAnswer(RefusalReason reason) {
+        return new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reason.status()),
+                Unpooled.EMPTY_BUFFER);
     }
 
     /** Closes caller connections that exceed the idle timeout in force. */
--- a/src/main/java/org/jacinthwharf/process/gateway/ControlLinks.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ControlLinks.java
@@ -82,6 +82,12 @@
         mListener.onMessage(VmId.of(link.peer().getVmId()), message);
     }
 
+    /** All state of a gateway comes again with a new link. */
+    @Override
+    public boolean isContained(Envelope message) {
+        return true;
+    }
+
     @Override
     public void onDown(Link link) {
         VmId vm = VmId.of(link.peer().getVmId());
--- a/src/main/java/org/jacinthwharf/process/gateway/CrashGuard.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CrashGuard.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
@@ -94,7 +95,8 @@
             mEvidence.onRetest(blocking, now);
             mMetrics.countEvent("crash_retest");
             LOGGER.atInfo().log(
-                    "event=crash_retest request=%s subjects=%s", call.requestId(), blocking);
+                    "event=crash_retest request=%s subjects=%s",
+                    LogText.of(call.requestId()), blocking);
             return Admission.RETEST;
         }
         return Admission.BLOCKED;
@@ -117,7 +119,7 @@
         mEvidence.onRefused(blocking, now);
         LOGGER.atInfo().log(
                 "event=crash_blocked request=%s subjects=%s crashes=%s",
-                call.requestId(),
+                LogText.of(call.requestId()),
                 blocking,
                 blocking.stream().map(mEvidence::suspectedCrashes).toList());
         boolean whole = blocking.stream().anyMatch(s -> s.kind() == CrashSubject.Kind.REQUEST);
@@ -180,13 +182,13 @@
         LOGGER.atInfo().log(
                 "event=attempt_lost request=%s server=%s born=%d new_connection=%s head_seen=%b"
                         + " answer_begun=%b segments=%s subject=%s",
-                call.requestId(),
+                LogText.of(call.requestId()),
                 server,
                 server.bornMillis(),
                 check.code(),
                 lost.headSeen(),
                 lost.answerBegun(),
-                call.segments(),
+                LogText.of(call.segments().toString()),
                 crashed ? call.request() : "-");
         if (!crashed) {
             return false;
--- a/src/main/java/org/jacinthwharf/process/gateway/DirectoryFollower.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/DirectoryFollower.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.net.InetAddress;
 import org.jacinthwharf.connection.ServerAddress;
+import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.membership.ServerDirectory;
 import org.jacinthwharf.process.membership.ServerRecordCheck;
@@ -62,17 +63,17 @@
                         "event=server_known server=%s service=%s address=%s status=%s version=%s"
                                 + " domain=%s born=%d sequence=%d cold_ms=%d age_ms=%d",
                         merged.getServer(),
-                        merged.getService(),
+                        LogText.of(merged.getService()),
                         merged.getAddress(),
                         merged.getStatus(),
-                        merged.getVersion(),
-                        merged.getFailureDomain(),
+                        LogText.of(merged.getVersion()),
+                        LogText.of(merged.getFailureDomain()),
                         merged.getBornMillis(),
                         merged.getSequence(),
                         merged.getColdLeftMillis(),
                         r.getAgeMillis());
             }
         }
-        mDirectory.expireTombstones(now);
+        mDirectory.expire(now);
     }
 }
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.process.metrics.RetryReason;
 import org.jacinthwharf.request.dispatch.BackendServer;
@@ -35,7 +36,8 @@
  * closed connection; a request that must not run twice is retried only if its server did not run
  * it; a refusal states "not run" only if no server can have run the request; an answer with the id
  * of another request is never forwarded, nor one without an id on a connection that has served
- * another request; a successful answer must carry the id of this request and the server's seal.
+ * another request; a successful answer must carry the id of this request and the server's seal; an
+ * exception in a step of the call ends this call, and no other.
  */
 final class ForwardedCall implements CallerConnection.CallerListener, ExchangeListener {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -46,6 +48,9 @@
     /** With less time remaining, no server can answer within the deadline. */
     private static final long MIN_REMAINING_MILLIS = 5;
 
+    /** Short, since another gateway can accept the request at once. */
+    private static final long DRAINING_RETRY_MILLIS = 50;
+
     /** The server knows the deadline; this covers the network. */
     private static final Duration FINISH_TIME_AFTER_DEADLINE = Duration.ofSeconds(1);
 
@@ -59,7 +64,7 @@
     private final GatewayContext mContext;
     private final long mDeadlineNanos;
     private final Set<String> mTriedServers = new HashSet<>();
-    private final EventSplitter mEventSplitter;
+    private final StreamRelay mStream;
     private Placement mPlacement;
     private ServerPool.Exchange mExchange;
 
@@ -70,7 +75,9 @@
     private int mNotRunAttempts;
     private boolean mMayHaveRun;
     private boolean mWaiting;
-    private boolean mStreaming;
+
+    /** Whether the body of the current attempt's answer is passed on as events. */
+    private boolean mRelaysEvents;
 
     /** Whether the answer of the current attempt has begun: its first event has arrived. */
     private boolean mAnswerBegun;
@@ -79,6 +86,8 @@
     private boolean mRetest;
 
     private boolean mEnded;
+    private boolean mAnswered;
+    private boolean mReleased;
     private long mSentNanos;
     private long mFirstByteNanos;
     private String mCause = "";
@@ -107,11 +116,77 @@
         mCustomer = customer;
         mDeadlineNanos = deadlineNanos;
         mContext = context;
-        mEventSplitter = new EventSplitter(callerHeaders.lastEventId());
+        mStream =
+                new StreamRelay(
+                        caller,
+                        callerHeaders.lastEventId(),
+                        route.getResumable() || callerHeaders.lastEventId().isPresent(),
+                        context.bufferBudget());
+    }
+
+    // --- Faults ---------------------------------------------------------------------------------
+
+    /** Runs a step of the call; an exception in it ends the call. */
+    private void step(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            onFault(e);
+        }
+    }
+
+    /** Ends the call whatever its state, and gives back all that it holds. */
+    private void onFault(RuntimeException fault) {
+        LOGGER.atSevere().withCause(fault).log(
+                "event=call_fault request=%s", LogText.of(mCallerHeaders.requestId()));
+        boolean mayHaveRun = mMayHaveRun || mExchange != null;
+        mEnded = true;
+        contain(() -> mContext.metrics().countEvent("call_fault"));
+        if (mWaiting) {
+            mWaiting = false;
+            contain(() -> mContext.cancelWaiting(this));
+        }
+        contain(this::cancelExchange);
+        contain(() -> releasePlacement(Optional.empty()));
+        if (!mAnswered) {
+            mAnswered = true;
+            contain(() -> answerFault(mayHaveRun));
+        }
+        contain(this::release);
+    }
+
+    private void answerFault(boolean mayHaveRun) {
+        if (mStream.isStarted()) {
+            mCaller.abort();
+            return;
+        }
+        RefusalReason reason =
+                mayHaveRun ? RefusalReason.BACKEND_FAILED : RefusalReason.INTERNAL_FAULT;
+        mCaller.answer(
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(reason.status()),
+                        Unpooled.EMPTY_BUFFER));
     }
 
+    /** Runs a step of the end of a call that has failed; the next steps follow in any case. */
+    private void contain(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOGGER.atSevere().withCause(e).log(
+                    "event=call_fault_at_end request=%s", LogText.of(mCallerHeaders.requestId()));
+        }
+    }
+
+    // --- Sending --------------------------------------------------------------------------------
+
     /** Requests a placement, unless the request is known to crash servers. */
     void start() {
+        step(this::submit);
+    }
+
+    private void submit() {
         if (mContext.crashGuard().isBlocked(mSubjects)) {
             endBlocked();
             return;
@@ -146,31 +221,41 @@
         return mContext.loop().nowNanos();
     }
 
-    // --- Sending --------------------------------------------------------------------------------
-
     /** Sends the request to the server of a placement. */
     void onPlaced(Placement placement) {
         mWaiting = false;
-        long now = now();
-        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(mDeadlineNanos - now);
-        if (mEnded || remainingMillis < MIN_REMAINING_MILLIS) {
+        if (mEnded) {
             placement.end();
             mContext.onCapacityFreed();
-            if (!mEnded) {
-                endWithError(RefusalReason.DEADLINE_PASSED, 0);
-            }
+            return;
+        }
+        mPlacement = placement;
+        step(() -> send(placement));
+    }
+
+    private void send(Placement placement) {
+        long now = now();
+        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(mDeadlineNanos - now);
+        if (remainingMillis < MIN_REMAINING_MILLIS) {
+            returnPlacement(placement);
+            endWithError(RefusalReason.DEADLINE_PASSED, 0);
+            return;
+        }
+        if (!isSafeToRerun() && mDeadlineNanos > mContext.stopNanos()) {
+            // The planned stop may cut it off, and the caller could not repeat it.
+            returnPlacement(placement);
+            endWithError(RefusalReason.DRAINING, DRAINING_RETRY_MILLIS);
             return;
         }
         CrashGuard.Admission admission = mContext.crashGuard().admit(mSubjects);
         if (admission == CrashGuard.Admission.BLOCKED) {
-            placement.end();
-            mContext.onCapacityFreed();
+            returnPlacement(placement);
             endBlocked();
             return;
         }
         mRetest = admission == CrashGuard.Admission.RETEST;
         mAnswerBegun = false;
-        mPlacement = placement;
+        mRelaysEvents = false;
         mSentNanos = now;
         mAnswer = null;
         FullHttpRequest copy = newServerRequest(placement, remainingMillis);
@@ -180,6 +265,13 @@
         mExchange = mContext.pool().send(placement.server().address(), copy, newConnection, this);
     }
 
+    /** Gives back a placement that was not used. */
+    private void returnPlacement(Placement placement) {
+        mPlacement = null;
+        placement.end();
+        mContext.onCapacityFreed();
+    }
+
     private FullHttpRequest newServerRequest(Placement placement, long remainingMillis) {
         HttpHeaders headers = new DefaultHttpHeaders().set(mRequest.headers());
         HopByHopHeaders.remove(headers);
@@ -190,9 +282,9 @@
                                 remainingMillis,
                                 placement.server().id(),
                                 mCustomer,
-                                mEventSplitter.lastEventId(),
+                                mStream.lastEventId(),
                                 placement.cacheSource().map(s -> s.address().toString())));
-        ByteBuf body = mRequest.content().retainedDuplicate();
+        ByteBuf body = mRequest.content();
         if (body.isReadable() || mRequest.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
@@ -200,7 +292,7 @@
                 HttpVersion.HTTP_1_1,
                 mRequest.method(),
                 mRequest.uri(),
-                body,
+                body.retainedDuplicate(),
                 headers,
                 new DefaultHttpHeaders());
     }
@@ -209,6 +301,12 @@
 
     @Override
     public boolean onHead(HttpResponse head, boolean firstOnConnection) {
+        boolean[] own = {true};
+        step(() -> own[0] = acceptHead(head, firstOnConnection));
+        return own[0];
+    }
+
+    private boolean acceptHead(HttpResponse head, boolean firstOnConnection) {
         HeaderCodec.AnswerHeaders answerHeaders =
                 mContext.headerCodec().parseAnswerHeaders(head.headers());
         if (answerHeaders
@@ -217,42 +315,59 @@
                 .isPresent()) {
             LOGGER.atInfo().log(
                     "event=answer_crossed request=%s server=%s answer_of=%s",
-                    mCallerHeaders.requestId(),
+                    LogText.of(mCallerHeaders.requestId()),
                     mPlacement.server(),
-                    answerHeaders.requestId().get());
+                    LogText.of(answerHeaders.requestId().get()));
             return false;
         }
         if (answerHeaders.requestId().isEmpty() && !firstOnConnection && !mEnded) {
             // It may be a copy of the answer to an earlier request on the connection.
-            mExchange.cancel();
-            mPlacement.server().onFailure(now());
-            onFailed(RetryReason.CROSSED_ANSWER, "an answer without an id on a used connection");
+            failAttempt(RetryReason.CROSSED_ANSWER, "an answer without an id on a used connection");
             return true;
         }
-        mAnswer = new ServerAnswer(head, answerHeaders);
+        mAnswer = new ServerAnswer(head, answerHeaders, mContext.bufferBudget());
         mContext.onAnswerHead(mPlacement.server(), mAnswer);
         if (mFirstByteNanos == 0) {
             mFirstByteNanos = now();
         }
-        if (!mEnded && mAnswer.isSuccess() && !mAnswer.hasIdAndSeal()) {
-            mExchange.cancel();
-            mPlacement.server().onFailure(now());
-            onFailed(RetryReason.CROSSED_ANSWER, "a success without the server's mark");
+        if (!mEnded && mAnswer.isSuccess()) {
+            acceptSuccess();
         }
         return true;
     }
 
+    private void acceptSuccess() {
+        if (!mAnswer.hasIdAndSeal()) {
+            failAttempt(RetryReason.CROSSED_ANSWER, "a success without the server's mark");
+            return;
+        }
+        StreamRelay.Form form = isStream() ? mStream.form(mAnswer) : StreamRelay.Form.WHOLE;
+        mRelaysEvents = form == StreamRelay.Form.EVENTS;
+        if (form == StreamRelay.Form.FOREIGN) {
+            failAttempt(RetryReason.FOREIGN_EVENT, "an answer that does not continue the stream");
+        }
+    }
+
+    /** Ends the current attempt, since what the server sends is not the answer. */
+    private void failAttempt(RetryReason reason, String cause) {
+        mExchange.cancel();
+        mPlacement.server().onFailure(now());
+        onFailed(reason, cause);
+    }
+
     @Override
     public void onBody(ByteBuf data) {
+        step(() -> acceptBody(data));
+    }
+
+    private void acceptBody(ByteBuf data) {
         mContext.activity().onAnswerBytes(data.readableBytes());
         if (mEnded || mAnswer == null) {
             return;
         }
-        if (isStream() && mAnswer.isSuccess() && mAnswer.hasIdAndSeal()) {
+        if (mRelaysEvents) {
             onStreamData(data);
-            return;
-        }
-        if (!mAnswer.append(data)) {
+        } else if (!mAnswer.append(data)) {
             cancelExchange();
             mMayHaveRun = true;
             mCause = "answer is too large";
@@ -261,29 +376,15 @@
     }
 
     private void onStreamData(ByteBuf data) {
-        if (mEventSplitter.isTooLong(data)) {
-            mPlacement.server().onFailure(now());
-            mExchange.cancel();
-            onFailed(RetryReason.STREAM_TRUNCATED, "an event is too long");
-            return;
-        }
         mPlacement.onFirstEvent(now());
-        ByteBuf events = mEventSplitter.feed(data);
-        if (!events.isReadable()) {
-            events.release();
-            return;
-        }
-        onAnswerBegun();
-        writeToStream(events);
-    }
-
-    private void writeToStream(ByteBuf data) {
-        if (!mStreaming) {
-            mStreaming = true;
-            mFirstByteNanos = now();
-            mCaller.startStream(mAnswer.headForCaller());
+        boolean first = !mStream.isStarted();
+        if (mStream.onData(mAnswer, data)) {
+            if (first) {
+                mFirstByteNanos = now();
+            }
+            onAnswerBegun();
         }
-        mCaller.write(data);
+        mStream.misfit().ifPresent(m -> failAttempt(RetryReason.FOREIGN_EVENT, m));
     }
 
     private void onAnswerBegun() {
@@ -295,9 +396,13 @@
 
     @Override
     public void onReadComplete() {
-        if (mStreaming && !mEnded) {
+        step(this::flush);
+    }
+
+    private void flush() {
+        if (mStream.isStarted() && !mEnded) {
             mCaller.flush();
-            if (!mCaller.isWritable()) {
+            if (!mCaller.isWritable() && mExchange != null) {
                 mExchange.setReading(false);
             }
         }
@@ -312,6 +417,10 @@
 
     @Override
     public void onEnd(ExchangeEnd end, String cause) {
+        step(() -> endAttempt(end, cause));
+    }
+
+    private void endAttempt(ExchangeEnd end, String cause) {
         if (mEnded) {
             if (end == ExchangeEnd.BROKEN) {
                 recordLost(checkServer());
@@ -350,9 +459,7 @@
      * resumes a stream may have nothing to add.
      */
     private boolean isStreamCutAtClose() {
-        return isStream()
-                && mAnswer.isSuccess()
-                && (mEventSplitter.isInsideEvent() || !(mAnswerBegun || mStreaming));
+        return mRelaysEvents && (mStream.isInsideEvent() || !(mAnswerBegun || mStream.isStarted()));
     }
 
     /**
@@ -364,27 +471,29 @@
     private void checkEndByClose() {
         Placement placement = mPlacement;
         CompletableFuture<CrashCheck.Result> check = checkServer();
-        check.thenAccept(
-                        result -> {
-                            if (mPlacement != placement) {
-                                return; // The call has given up this attempt.
-                            }
-                            if (mEnded) {
-                                releasePlacement(Optional.empty());
-                            } else if (result == CrashCheck.Result.ACCEPTED) {
-                                onComplete();
-                            } else {
-                                onConnectionLost(
-                                        "closed by the server, new connection " + result.code(),
-                                        check);
-                            }
-                        })
+        check.thenAccept(result -> step(() -> onEndChecked(placement, result, check)))
                 .exceptionally(this::logFailedCheck);
     }
 
+    private void onEndChecked(
+            Placement placement,
+            CrashCheck.Result result,
+            CompletableFuture<CrashCheck.Result> check) {
+        if (mPlacement != placement) {
+            return; // The call has given up this attempt.
+        }
+        if (mEnded) {
+            releasePlacement(Optional.empty());
+        } else if (result == CrashCheck.Result.ACCEPTED) {
+            onComplete();
+        } else {
+            onConnectionLost("closed by the server, new connection " + result.code(), check);
+        }
+    }
+
     private Void logFailedCheck(Throwable e) {
         LOGGER.atSevere().withCause(e).log(
-                "event=crash_check_failed request=%s", mCallerHeaders.requestId());
+                "event=crash_check_failed request=%s", LogText.of(mCallerHeaders.requestId()));
         return null;
     }
 
@@ -410,7 +519,7 @@
         }
         mMayHaveRun = true;
         releasePlacement(Optional.of(false));
-        suspect.thenAccept(isSuspect -> onLossExplained(isSuspect, cause))
+        suspect.thenAccept(isSuspect -> step(() -> onLossExplained(isSuspect, cause)))
                 .exceptionally(this::logFailedCheck);
     }
 
@@ -451,26 +560,33 @@
         } else if (status >= 500) {
             mPlacement.server().onFailure(now());
             onServerError(status);
+        } else if (mStream.isStarted() && !mRelaysEvents) {
+            onFailed(RetryReason.FOREIGN_EVENT, "status " + status + " for the rest of a stream");
+        } else if (mRelaysEvents && mStream.isInsideEvent() && !mStream.isUntypedWhole(mAnswer)) {
+            mPlacement.server().onFailure(now());
+            onFailed(RetryReason.STREAM_TRUNCATED, "the stream ended inside an event");
         } else {
-            mPlacement.server().onSuccess(now());
-            mContext.crashGuard().onAnswerWhole(mSubjects);
-            if (mAnswer.isSuccess()) {
-                onAnswerBegun();
-            }
-            releasePlacement(Optional.of(true));
-            if (mStreaming && !mAnswer.isSuccess()) {
-                abort("status " + status);
-            } else if (mStreaming || mEventSplitter.isInsideEvent()) {
-                if (mEventSplitter.isInsideEvent()) {
-                    writeToStream(mEventSplitter.takeRemainder());
-                }
-                end("answered", status, mCaller::endStream);
-            } else {
-                forwardAnswer(status);
-            }
+            onWholeAnswer(status);
         }
     }
 
+    private void onWholeAnswer(int status) {
+        mPlacement.server().onSuccess(now());
+        mContext.crashGuard().onAnswerWhole(mSubjects);
+        if (mAnswer.isSuccess()) {
+            onAnswerBegun();
+        }
+        releasePlacement(Optional.of(true));
+        if (mStream.isStarted()) {
+            end("answered", status, mStream::end);
+            return;
+        }
+        if (mStream.isInsideEvent()) {
+            mAnswer.setBody(mStream.takeWhole());
+        }
+        forwardAnswer(status);
+    }
+
     /** Forwards the server's complete answer, whatever its status. */
     private void forwardAnswer(int status) {
         FullHttpResponse answer = mAnswer.toCallerAnswer();
@@ -483,7 +599,7 @@
         releasePlacement(Optional.of(false));
         if (tryAcquireRetry()) {
             retry(RetryReason.BACKEND_ERROR, "status " + status);
-        } else if (mStreaming) {
+        } else if (mStream.isStarted()) {
             abort("status " + status);
         } else {
             forwardAnswer(status);
@@ -497,7 +613,7 @@
         releasePlacement(Optional.empty());
         boolean retry =
                 mNotRunAttempts < MAX_NOT_RUN_ATTEMPTS
-                        && mEventSplitter.isResumable()
+                        && mStream.isResumable()
                         && mDeadlineNanos > now()
                         && mContext.tryRetry(mDispatch.service());
         if (retry) {
@@ -521,7 +637,7 @@
 
     /** Breaks off an answer that has begun, or ends the request with an error. */
     private void endFailed(String cause) {
-        if (mStreaming) {
+        if (mStream.isStarted()) {
             abort(cause);
         } else {
             mCause = cause;
@@ -532,7 +648,7 @@
     /** Takes a retry from the budget if the limits of the request allow another attempt. */
     private boolean tryAcquireRetry() {
         return isSafeToRerun()
-                && mEventSplitter.isResumable()
+                && mStream.isResumable()
                 && mFailedAttempts < mRoute.getAttempts()
                 && mDeadlineNanos - now() > TimeUnit.MILLISECONDS.toNanos(MIN_REMAINING_MILLIS)
                 && mContext.tryRetry(mDispatch.service());
@@ -542,9 +658,13 @@
         mContext.metrics().countRetry(reason);
         LOGGER.atInfo().log(
                 "event=call_repeated request=%s reason=%s cause='%s' runs=%d turned_down=%d",
-                mCallerHeaders.requestId(), reason.code(), cause, mFailedAttempts, mNotRunAttempts);
+                LogText.of(mCallerHeaders.requestId()),
+                reason.code(),
+                cause,
+                mFailedAttempts,
+                mNotRunAttempts);
         releaseBody();
-        mEventSplitter.dropPartialEvent();
+        mStream.dropPartialEvent();
         mWaiting = true;
         mContext.submit(this, mDispatch, mTriedServers);
     }
@@ -552,7 +672,7 @@
     /** Called when the dispatcher refuses the request. */
     void onRefused(RefusalReason reason, long retryMillis) {
         mWaiting = false;
-        endWithError(reason, retryMillis);
+        step(() -> endWithError(reason, retryMillis));
     }
 
     private void endBlocked() {
@@ -562,8 +682,12 @@
 
     /** Ends the request if it has just been found to crash servers, or a segment of its prompt. */
     void onConviction() {
+        step(this::checkConviction);
+    }
+
+    private void checkConviction() {
         CrashGuard guard = mContext.crashGuard();
-        if (mEnded || mRetest || mStreaming || !guard.isBlocked(mSubjects)) {
+        if (mEnded || mRetest || mStream.isStarted() || !guard.isBlocked(mSubjects)) {
             return;
         }
         if (mWaiting) {
@@ -579,7 +703,7 @@
 
     /** Ends the request with an error, which states "not run" only if no server can have run it. */
     private void endWithError(RefusalReason reason, long retryMillis) {
-        if (mStreaming) {
+        if (mStream.isStarted()) {
             abort(reason.code());
             return;
         }
@@ -626,27 +750,40 @@
             return;
         }
         if (nowNanos >= mDeadlineNanos) {
-            onDeadline();
+            step(() -> giveUp(RefusalReason.DEADLINE_PASSED, 0));
         } else if (serverSilent && mExchange != null && isSafeToRerun()) {
-            mExchange.cancel();
-            onFailed(RetryReason.CONNECTION_SILENT, "the server is not heard from");
+            step(
+                    () -> {
+                        mExchange.cancel();
+                        onFailed(RetryReason.CONNECTION_SILENT, "the server is not heard from");
+                    });
         }
     }
 
-    private void onDeadline() {
+    /** Ends the call, since the process is about to end. */
+    void onStop() {
+        if (!mEnded) {
+            step(() -> giveUp(RefusalReason.DRAINING, DRAINING_RETRY_MILLIS));
+        }
+    }
+
+    private void giveUp(RefusalReason reason, long retryMillis) {
         if (mWaiting) {
             mWaiting = false;
             mContext.cancelWaiting(this);
-            endWithError(RefusalReason.DEADLINE_PASSED, 0);
-            return;
+        } else {
+            mMayHaveRun = true;
+            cancelExchangeIfSafe();
         }
-        mMayHaveRun = true;
-        cancelExchangeIfSafe();
-        endWithError(RefusalReason.DEADLINE_PASSED, 0);
+        endWithError(reason, retryMillis);
     }
 
     @Override
     public void onCallerGone() {
+        step(this::endWithoutCaller);
+    }
+
+    private void endWithoutCaller() {
         if (mEnded) {
             return;
         }
@@ -683,7 +820,7 @@
         if (mExchange != null) {
             long remaining = Math.max(0, mDeadlineNanos - now());
             Duration delay = Duration.ofNanos(remaining).plus(FINISH_TIME_AFTER_DEADLINE);
-            mContext.loop().schedule(delay, this::cancelExchange);
+            mContext.loop().schedule(delay, () -> step(this::cancelExchange));
         }
     }
 
@@ -720,10 +857,10 @@
                 "event=call_ended request=%s route=%s customer=%s service=%s outcome=%s"
                         + " status=%d prompt_tokens=%d lead_tokens=%.0f runs=%d turned_down=%d"
                         + " wait_ms=%d first_ms=%d total_ms=%d servers=%s cause='%s'",
-                mCallerHeaders.requestId(),
-                mRoute.getName(),
-                mCustomer.orElse("-"),
-                mDispatch.service(),
+                LogText.of(mCallerHeaders.requestId()),
+                LogText.of(mRoute.getName()),
+                LogText.of(mCustomer.orElse("-")),
+                LogText.of(mDispatch.service()),
                 outcome,
                 status,
                 mDispatch.promptTokens(),
@@ -735,15 +872,25 @@
                 millisSinceArrival(now),
                 mPlacement == null ? mTriedServers : mPlacement.server(),
                 mCause);
+        mAnswered = true;
         writeAnswer.run();
+        release();
+    }
+
+    /** Gives back what the call holds, but for an attempt that its server may still end. */
+    private void release() {
+        if (mReleased) {
+            return;
+        }
+        mReleased = true;
+        mContext.onEnd(this);
         releaseBody();
-        mEventSplitter.dropPartialEvent();
+        mStream.dropPartialEvent();
         if (mExchange != null) {
             mSubjects.request(); // The server may crash after the call has ended.
         }
         mRequest.release();
         cancelExchangeAfterDeadline();
-        mContext.onEnd(this);
     }
 
     private long millisSinceArrival(long nanos) {
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.jacinthwharf.connection.BufferBudget;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
@@ -24,6 +25,12 @@
 
     CrashCheck crashCheck();
 
+    /** Returns the memory that all bodies and answers share. */
+    BufferBudget bufferBudget();
+
+    /** Returns when open calls are cut off, {@code Long.MAX_VALUE} unless the process stops. */
+    long stopNanos();
+
     /** Requests a placement; the result is sent to {@code onPlaced} or {@code onRefused}. */
     void submit(ForwardedCall call, DispatchRequest request, Set<String> excluded);
 
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -11,11 +11,13 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import org.jacinthwharf.connection.BufferBudget;
 import org.jacinthwharf.connection.HttpAnswer;
 import org.jacinthwharf.connection.HttpCall;
 import org.jacinthwharf.connection.HttpEndpoint;
 import org.jacinthwharf.connection.Links;
 import org.jacinthwharf.connection.ListeningPort;
+import org.jacinthwharf.connection.Uploads;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.id.VmId;
@@ -93,6 +95,7 @@
     private final CallerRequestHandler mRequestHandler;
     private final HttpEndpoint mReadyEndpoint;
     private final HttpEndpoint mMetricsEndpoint;
+    private final BufferBudget mBufferBudget = BufferBudget.ofProcess();
     private final Set<ForwardedCall> mCalls = new HashSet<>();
     private final Set<CallerConnection> mCallers = new HashSet<>();
     private Channel mListener;
@@ -100,6 +103,7 @@
     private long mLastTickNanos;
     private volatile boolean mDraining;
     private volatile boolean mRefusing;
+    private volatile long mStopNanos = Long.MAX_VALUE;
 
     /** Creates a process; {@link #start} opens its ports. */
     public GatewayProcess(
@@ -206,7 +210,11 @@
                         mLoop.group(),
                         mSettings.listen().http().get().toSocketAddress(),
                         new CallerPipeline(
-                                mConfiguration, mRequestHandler, () -> mDraining, mCallers));
+                                mConfiguration,
+                                mRequestHandler,
+                                () -> mDraining,
+                                mCallers,
+                                new Uploads(mBufferBudget, mLoop::nowNanos)));
         if (mSettings.listen().ready().isPresent()) {
             mReadyEndpoint.listen(mSettings.listen().ready().get().toSocketAddress());
         }
@@ -239,7 +247,8 @@
      * when the grace time ends are cut off.
      */
     public void stop() {
-        GatewayStop stop = new GatewayStop(mSettings.bounds().stopGraceMillis());
+        GatewayStop stop = new GatewayStop(mSettings.bounds().stopGraceMillis(), mLoop.nowNanos());
+        mStopNanos = stop.endNanos();
         LOGGER.atInfo().log("event=gateway_stopping vm=%s", mSettings.vmId());
         mDraining = true;
         stop.run(
@@ -254,15 +263,21 @@
                 () -> {
                     mRefusing = true;
                     mListener.close();
-                });
+                },
+                () -> CompletableFuture.runAsync(this::endCalls, mLoop).join());
         mReadyEndpoint.close();
         mLinks.close();
         LOGGER.atInfo().log("event=gateway_stopped vm=%s", mSettings.vmId());
     }
 
+    private void endCalls() {
+        ImmutableList.copyOf(mCalls).forEach(ForwardedCall::onStop);
+    }
+
     private void closeIdleCallers() {
         long now = mLoop.nowNanos();
         ImmutableList.copyOf(mCallers).stream()
+                .filter(c -> !c.isReceiving())
                 .filter(c -> c.idleSinceNanos() < now - GatewayStop.MIN_IDLE_NANOS)
                 .forEach(CallerConnection::close);
     }
@@ -304,7 +319,7 @@
         mConfiguration.configuration().ifPresent(mVersionDriver::tick);
         mPool.closeExpired();
         mCrashGuard.expire();
-        mServerTable.removeGone();
+        mServerTable.removeGone(mLoop.nowNanos() - ServerDirectory.SILENCE_NANOS);
         mRequestHandler.closeIdle(mCallers, mLoop.nowNanos());
         mActivity.logIfDue(mLoop.nowNanos(), mCalls.size(), mDispatcher.waiting(), mCallers.size());
     }
@@ -420,6 +435,21 @@
         return mCrashCheck;
     }
 
+    @Override
+    public BufferBudget bufferBudget() {
+        return mBufferBudget;
+    }
+
+    @Override
+    public long stopNanos() {
+        return mStopNanos;
+    }
+
+    /** Returns the bytes of bodies and answers that are held; called on the event loop only. */
+    public long heldBodyBytes() {
+        return mBufferBudget.heldBytes();
+    }
+
     /**
      * Returns whether new calls are refused, since the end of a planned stop might cut them off.
      */
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayStop.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayStop.java
@@ -23,9 +23,21 @@
     private static final long POLL_MILLIS = 50;
 
     private final long mGraceMillis;
+    private final long mEndNanos;
 
-    GatewayStop(long graceMillis) {
+    /**
+     * Creates the steps of a stop that begins now.
+     *
+     * @param graceMillis time until the process is killed
+     */
+    GatewayStop(long graceMillis, long nowNanos) {
         mGraceMillis = graceMillis;
+        mEndNanos = nowNanos + (graceMillis - EXIT_RESERVE_MILLIS) * 1_000_000L;
+    }
+
+    /** Returns when calls that are still open are ended. */
+    long endNanos() {
+        return mEndNanos;
     }
 
     /**
@@ -33,17 +45,17 @@
      *
      * @param openCalls closes idle connections and returns the number of open calls
      * @param closeListener stops accepting connections and requests
+     * @param endCalls ends the calls that are open at the end of the grace time
      */
-    void run(IntSupplier openCalls, Runnable closeListener) {
-        long start = System.nanoTime();
-        long end = start + (mGraceMillis - EXIT_RESERVE_MILLIS) * 1_000_000L;
+    void run(IntSupplier openCalls, Runnable closeListener, Runnable endCalls) {
         sleep(Math.min(LOAD_BALANCER_DRAIN_MILLIS, mGraceMillis / 2));
         closeListener.run();
         int open = openCalls.getAsInt();
-        while (open > 0 && System.nanoTime() < end) {
+        while (open > 0 && System.nanoTime() < mEndNanos) {
             sleep(POLL_MILLIS);
             open = openCalls.getAsInt();
         }
+        endCalls.run();
         // Leaves time to flush the last answers and to close idle connections.
         sleep(2 * POLL_MILLIS);
         LOGGER.atInfo().log("event=calls_finished open=%d", open);
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerAnswer.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerAnswer.java
@@ -1,7 +1,6 @@
 package org.jacinthwharf.process.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -13,6 +12,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import org.jacinthwharf.connection.BudgetedBuffer;
+import org.jacinthwharf.connection.BufferBudget;
 
 /**
  * The answer to one attempt: its head, and its body unless that is streamed.
@@ -31,11 +32,13 @@
 
     private final HttpResponse mHead;
     private final HeaderCodec.AnswerHeaders mHeaders;
-    private CompositeByteBuf mBody;
+    private final BufferBudget mBudget;
+    private BudgetedBuffer mBody;
 
-    ServerAnswer(HttpResponse head, HeaderCodec.AnswerHeaders headers) {
+    ServerAnswer(HttpResponse head, HeaderCodec.AnswerHeaders headers, BufferBudget budget) {
         mHead = new DefaultHttpResponse(head.protocolVersion(), head.status(), head.headers());
         mHeaders = headers;
+        mBudget = budget;
     }
 
     int status() {
@@ -72,16 +75,24 @@
                 && !HttpUtil.isTransferEncodingChunked(mHead);
     }
 
-    /** Appends to the body; returns false if it is too large. */
+    /** Returns the first value of a header, or null if there is none. */
+    String header(CharSequence name) {
+        return mHead.headers().get(name);
+    }
+
+    /** Appends to the body; returns false if it is too large, or other bodies hold the memory. */
     boolean append(ByteBuf data) {
         if (mBody == null) {
-            mBody = Unpooled.compositeBuffer();
-        }
-        if (mBody.readableBytes() + data.readableBytes() > MAX_BUFFERED_BYTES) {
-            return false;
+            mBody = new BudgetedBuffer(mBudget);
         }
-        mBody.addComponent(true, data.retain());
-        return true;
+        return mBody.readableBytes() + data.readableBytes() <= MAX_BUFFERED_BYTES
+                && mBody.tryAppend(data);
+    }
+
+    /** Takes ownership of a whole body. */
+    void setBody(BudgetedBuffer body) {
+        release();
+        mBody = body;
     }
 
     /** Returns the head to pass on to the caller, without headers of the server's connection. */
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -2,10 +2,12 @@
 
 import com.google.common.primitives.Longs;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -41,6 +43,13 @@
     private static final int MAX_HEADER_BYTES = 64 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
+    /**
+     * Bounds what is read of one server in a run of the event loop, so that tiny chunks without end
+     * do not hold up the others.
+     */
+    private static final RecvByteBufAllocator READS =
+            new AdaptiveRecvByteBufAllocator(64, 2 << 10, 16 << 10).maxMessagesPerRead(1);
+
     private final EventLoopGroup mGroup;
     private final EventLoop mLoop;
     private final FleetMetrics mMetrics;
@@ -127,6 +136,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.SO_KEEPALIVE, true)
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, READS)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
@@ -1,5 +1,7 @@
 package org.jacinthwharf.process.gateway;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +33,14 @@
     /** Larger than the number of requests that wait at the same time. */
     private static final int MAX_CHOSEN_VERSIONS = 4_096;
 
+    /**
+     * One choice of a version.
+     *
+     * @param request hash of the request's id, which may be long; requests that share it share the
+     *     choice
+     */
+    private record ChoiceKey(String move, MovePhase phase, long request) {}
+
     /** The servers of a version, for the requests that are placed in one run. */
     private record Selection(
             Model model, String chosen, List<BackendServer> from, List<BackendServer> allowed) {
@@ -41,10 +51,10 @@
 
     private final VersionDriver mDriver;
     private Selection mLast = new Selection(Model.getDefaultInstance(), "", List.of(), List.of());
-    private final Map<String, String> mChosenVersions =
+    private final Map<ChoiceKey, String> mChosenVersions =
             new LinkedHashMap<>() {
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<ChoiceKey, String> eldest) {
                     return size() > MAX_CHOSEN_VERSIONS;
                 }
             };
@@ -91,7 +101,8 @@
         if (!m.hasMove()) {
             return m.getCurrentVersion();
         }
-        String key = m.getMove().getId() + "/" + m.getMove().getPhase() + "/" + request.id();
+        long hash = Hashing.murmur3_128().hashString(request.id(), StandardCharsets.UTF_8).asLong();
+        ChoiceKey key = new ChoiceKey(m.getMove().getId(), m.getMove().getPhase(), hash);
         return mChosenVersions.computeIfAbsent(
                 key,
                 k ->
--- a/src/main/java/org/jacinthwharf/process/membership/ServerDirectory.java
+++ b/src/main/java/org/jacinthwharf/process/membership/ServerDirectory.java
@@ -19,6 +19,12 @@
     /** Time for which a server that is gone is kept, so that late records cannot restore it. */
     private static final long TOMBSTONE_NANOS = 120_000_000_000L;
 
+    /**
+     * Time without an announcement after which a server is forgotten. Far longer than a cut, since
+     * a server that crashed stops being sent requests without this; it only frees memory.
+     */
+    public static final long SILENCE_NANOS = 600_000_000_000L;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final Map<String, Entry> mServers = new HashMap<>();
@@ -121,13 +127,13 @@
                 && cold == b.getColdLeftMillis() > 0;
     }
 
-    /** Removes expired tombstones of servers that are gone. */
-    public void expireTombstones(long nowNanos) {
-        mServers.values()
-                .removeIf(
-                        e ->
-                                e.record().getStatus() == ServerStatus.GONE
-                                        && nowNanos - e.lastReceivedNanos() > TOMBSTONE_NANOS);
+    /** Removes expired tombstones of servers that are gone, and servers that went silent. */
+    public void expire(long nowNanos) {
+        mServers.values().removeIf(e -> nowNanos - e.lastReceivedNanos() > lifetimeNanos(e));
+    }
+
+    private static long lifetimeNanos(Entry e) {
+        return e.record().getStatus() == ServerStatus.GONE ? TOMBSTONE_NANOS : SILENCE_NANOS;
     }
 
     /** Returns the entry of a server, if there is one. */
--- a/src/main/java/org/jacinthwharf/process/metrics/RefusalReason.java
+++ b/src/main/java/org/jacinthwharf/process/metrics/RefusalReason.java
@@ -26,6 +26,7 @@
     NOT_READY(503),
     DRAINING(503),
     GATEWAY_BUSY(503),
+    INTERNAL_FAULT(503),
     // Non-idempotent calls.
     KEY_REUSED(422),
     KEY_IN_PROGRESS(409),
--- a/src/main/java/org/jacinthwharf/process/metrics/RetryReason.java
+++ b/src/main/java/org/jacinthwharf/process/metrics/RetryReason.java
@@ -11,6 +11,7 @@
     BACKEND_ERROR,
     CROSSED_ANSWER,
     STREAM_TRUNCATED,
+    FOREIGN_EVENT,
     SLOT_RECALLED,
     GRANT_EXPIRED;
 
--- a/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
@@ -17,6 +17,8 @@
  */
 public final class NodeSettingsReader {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final double MILLIS_PER_SECOND = 1e3;
+    private static final double MAX_MILLIS = 86_400_000;
 
     /** Reads a file and returns the settings or the problem found in it. */
     public SettingsResult<NodeSettings> read(Path file) {
@@ -64,19 +66,30 @@
                 root.path("dataFolder").asText(""),
                 regions.buildOrThrow(),
                 new NodeBounds(
-                        requireLong(bounds, "announceMillis", key),
-                        requireLong(bounds, "stopGraceMillis", key),
+                        requireMillis(bounds, "announce", key),
+                        requireMillis(bounds, "stopGrace", key),
                         require(bounds, "retryRatio", key).asDouble(),
-                        requireLong(bounds, "retryWindowMillis", key),
+                        requireMillis(bounds, "retryWindow", key),
                         require(bounds, "retrySlack", key).asDouble()));
     }
 
-    private static long requireLong(JsonNode node, String name, String[] key) {
-        JsonNode value = require(node, name, key);
-        if (!value.isNumber()) {
-            throw new IllegalArgumentException("must be a number");
+    /**
+     * Reads a time that is given as {@code nameSeconds} or {@code nameMillis}, with or without a
+     * fraction.
+     */
+    private static long requireMillis(JsonNode node, String name, String[] key) {
+        boolean seconds = node.hasNonNull(name + "Seconds");
+        if (seconds && node.hasNonNull(name + "Millis")) {
+            key[0] = name + "Seconds";
+            throw new IllegalArgumentException(
+                    "must not be given together with " + name + "Millis");
         }
-        return value.asLong();
+        JsonNode value = require(node, name + (seconds ? "Seconds" : "Millis"), key);
+        double millis = value.asDouble() * (seconds ? MILLIS_PER_SECOND : 1);
+        if (!value.isNumber() || !(millis >= 1) || millis > MAX_MILLIS) {
+            throw new IllegalArgumentException("must be a time from 1 ms to a day, not " + value);
+        }
+        return Math.round(millis);
     }
 
     private static JsonNode require(JsonNode node, String name, String[] key) {
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -12,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.request.admission.ServiceLedger;
 
@@ -24,6 +26,8 @@
  * enough is refused as soon as that is known. Not thread-safe; does no I/O and reads no clock.
  */
 public final class Dispatcher<R> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** Cost of a generated token to the engines, in prompt tokens. */
     private static final double OUTPUT_TOKEN_COST = 2;
 
@@ -263,14 +267,24 @@
                 if (!tried.add(head)) {
                     continue;
                 }
-                Optional<Placement> placement =
-                        place(
-                                head.request(),
-                                service,
-                                head.excluded(),
-                                mayUseAnyEngine(head, nowNanos),
-                                candidates,
-                                nowNanos);
+                Optional<Placement> placement;
+                try {
+                    placement =
+                            place(
+                                    head.request(),
+                                    service,
+                                    head.excluded(),
+                                    mayUseAnyEngine(head, nowNanos),
+                                    candidates,
+                                    nowNanos);
+                } catch (RuntimeException e) {
+                    // A fault in the work for one request must not stop that for the others.
+                    LOGGER.atSevere().withCause(e).log(
+                            "event=placement_fault request=%s", LogText.of(head.request().id()));
+                    queue.removeCall(head.call());
+                    actions.addAll(refuse(head.call(), RefusalReason.INTERNAL_FAULT, 0));
+                    continue;
+                }
                 if (placement.isPresent()) {
                     queue.removeStarted(head, nowNanos);
                     actions.add(new DispatchAction.Place<>(head.call(), placement.get()));
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerTable.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerTable.java
@@ -62,10 +62,17 @@
         }
     }
 
-    /** Removes servers that are gone and run no request of this gateway. */
-    public void removeGone() {
+    /**
+     * Removes servers that run no request of this gateway and are gone, or were last heard from
+     * before the given time.
+     */
+    public void removeGone(long silentSinceNanos) {
         ImmutableList.copyOf(mServers.values()).stream()
-                .filter(s -> s.status() == ServerStatus.GONE && s.running() == 0)
+                .filter(s -> s.running() == 0)
+                .filter(
+                        s ->
+                                s.status() == ServerStatus.GONE
+                                        || s.lastReceivedNanos() < silentSinceNanos)
                 .forEach(this::remove);
     }
 
--- a/src/test/java/org/jacinthwharf/process/control/ConfigurationPushTest.java
+++ b/src/test/java/org/jacinthwharf/process/control/ConfigurationPushTest.java
@@ -9,8 +9,10 @@
 import java.util.List;
 import java.util.Random;
 import org.jacinthwharf.process.control.ConfigurationFollower.Action;
+import org.jacinthwharf.wire.generated.Command;
 import org.jacinthwharf.wire.generated.ConfigurationPush;
 import org.jacinthwharf.wire.generated.RevisionReport;
+import org.jacinthwharf.wire.generated.RoutingTable;
 import org.jacinthwharf.wire.generated.Subscribe;
 import org.junit.jupiter.api.Test;
 
@@ -159,6 +161,29 @@
         assertThat(mLink.takePushes().get(0).hasFull()).isTrue();
     }
 
+    /** Guards against a heap that fills with the changes of large routing tables. */
+    @Test
+    void retainedChangesAreBoundInBytes() {
+        ByteString document = ByteString.copyFrom(new byte[100_000]);
+        for (int i = 1; i <= 300; i++) {
+            RoutingTable table =
+                    RoutingTable.newBuilder().setNumber(i).setDocument(document).build();
+            mState.apply(
+                    i,
+                    Command.newBuilder()
+                            .setCommandId("c" + i)
+                            .setReplaceRouting(table)
+                            .build()
+                            .toByteString());
+            assertThat(mPublisher.retainedBytes())
+                    .isAtMost(ConfigurationPublisher.MAX_RETAINED_BYTES);
+        }
+        mPublisher.subscribe(mLink, Subscribe.newBuilder().setRevision(298).build());
+        assertThat(mLink.takePushes()).hasSize(2);
+        mPublisher.subscribe(mLink, Subscribe.newBuilder().setRevision(3).build());
+        assertThat(mLink.takePushes().get(0).getFull().getRouting().getNumber()).isEqualTo(300);
+    }
+
     private ConfigurationPush fullPush(boolean confirmed) {
         return ConfigurationPush.newBuilder()
                 .setRevision(mState.revision())
--- a/src/test/java/org/jacinthwharf/process/gateway/GoneCallerTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/GoneCallerTest.java
@@ -15,7 +15,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.jacinthwharf.connection.BufferBudget;
 import org.jacinthwharf.connection.ListeningPort;
+import org.jacinthwharf.connection.Uploads;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.control.ConfigurationFollower;
 import org.jacinthwharf.process.loop.NettyEventLoop;
@@ -59,7 +61,8 @@
                                         mLoop),
                                 this::start,
                                 () -> false,
-                                callers));
+                                callers,
+                                new Uploads(new BufferBudget(1 << 20), System::nanoTime)));
     }
 
     @AfterEach
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/process/settings/NodeSettingsReaderTest.java
@@ -0,0 +1,59 @@
+package org.jacinthwharf.process.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a time that a process reads in another unit than its settings give it. */
+final class NodeSettingsReaderTest {
+    private static SettingsResult<NodeSettings> read(String grace) {
+        String settings =
+                String.format(
+                        Locale.ROOT,
+                        "{\"vmId\":\"10.0.0.1\",\"failureDomain\":\"west\",\"region\":\"r\","
+                                + "\"peerPort\":7,\"seeds\":[],\"listen\":{},\"bounds\":{"
+                                + "\"announceMillis\":1000,%s,\"retryRatio\":0.2,"
+                                + "\"retryWindowSeconds\":10,\"retrySlack\":50}}",
+                        grace);
+        return new NodeSettingsReader().read("f", settings.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static NodeBounds bounds(String grace) {
+        return ((SettingsResult.Valid<NodeSettings>) read(grace)).settings().bounds();
+    }
+
+    // A planned stop of 8.5 s was taken for one of 8.5 ms, and cut all calls.
+    @ParameterizedTest
+    @CsvSource({"8,8000", "8.5,8500", "0.25,250", "1e1,10000"})
+    void fractionsOfSecondsAreKept(String seconds, long millis) {
+        assertThat(bounds("\"stopGraceSeconds\":" + seconds).stopGraceMillis()).isEqualTo(millis);
+    }
+
+    @Test
+    void millisecondsAreReadAsBefore() {
+        assertThat(bounds("\"stopGraceMillis\":8000").stopGraceMillis()).isEqualTo(8_000);
+        assertThat(bounds("\"stopGraceMillis\":8000").retryWindowMillis()).isEqualTo(10_000);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\"stopGraceSeconds\":-1",
+                "\"stopGraceSeconds\":0",
+                "\"stopGraceSeconds\":\"8\"",
+                "\"stopGraceSeconds\":1e9",
+                "\"stopGraceSeconds\":8,\"stopGraceMillis\":8000",
+                "\"other\":1"
+            })
+    void otherTimesAreInvalidAndNamed(String grace) {
+        SettingsResult<NodeSettings> result = read(grace);
+        assertThat(result).isInstanceOf(SettingsResult.Invalid.class);
+        String problem = ((SettingsResult.Invalid<NodeSettings>) result).problems().toString();
+        assertThat(problem).contains("stopGrace");
+    }
+}
