--- a/src/main/java/org/jacinthwharf/process/gateway/CallSubjects.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallSubjects.java
@@ -35,7 +35,7 @@
                                         request.method().name(),
                                         request.headers().get(HttpHeaderNames.HOST, ""),
                                         request.uri(),
-                                        request.content().nioBuffer()));
+                                        request.content().nioBuffers()));
     }
 
     String requestId() {
--- a/src/main/java/org/jacinthwharf/request/crash/RequestFingerprint.java
+++ b/src/main/java/org/jacinthwharf/request/crash/RequestFingerprint.java
@@ -24,14 +24,18 @@
      * @param customer customer that the request is charged to
      * @param host host that the request names
      * @param target path and query
+     * @param body the pieces of the body; how it is cut makes no difference
      */
     public static CrashSubject of(
-            String customer, String method, String host, String target, ByteBuffer body) {
+            String customer, String method, String host, String target, ByteBuffer[] body) {
         Hasher hasher = Hashing.sha256().newHasher();
         for (String part : new String[] {customer, method, host, target}) {
             hasher.putInt(part.length()).putString(part, StandardCharsets.UTF_8);
         }
-        byte[] hash = hasher.putBytes(body.duplicate()).hash().asBytes();
+        for (ByteBuffer piece : body) {
+            hasher.putBytes(piece.duplicate());
+        }
+        byte[] hash = hasher.hash().asBytes();
         return CrashSubject.request(
                 BaseEncoding.base16().lowerCase().encode(Arrays.copyOf(hash, FINGERPRINT_BYTES)));
     }
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatchScenario.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -36,6 +37,10 @@
     final List<String> mPlaced = new ArrayList<>();
     final List<Placement> mPlacements = new ArrayList<>();
     final List<String> mRefused = new ArrayList<>();
+
+    /** Requests for which the choice of a version fails. */
+    final Set<String> mFaulty = new HashSet<>();
+
     int mVersionChecks;
     long mNow = 100 * SECOND;
 
@@ -69,6 +74,9 @@
                         mLedger,
                         (request, servers, retry) -> {
                             mVersionChecks++;
+                            if (mFaulty.contains(request.id())) {
+                                throw new IllegalStateException("injected fault");
+                            }
                             return servers;
                         },
                         name ->
@@ -118,9 +126,13 @@
     }
 
     DispatchRequest bookingRequest(String id) {
+        return bookingRequest(id, "a");
+    }
+
+    DispatchRequest bookingRequest(String id, String customer) {
         return new DispatchRequest(
                 id,
-                CustomerId.of("a"),
+                CustomerId.of(customer),
                 BOOKING,
                 "book",
                 1,
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
@@ -206,6 +206,24 @@
         assertThat(mScenario.serversOf("")).containsExactly("@b1", "@b2", "@b3");
     }
 
+    // Guards against a fault in the work for one waiting request that stops all others.
+    @Test
+    void faultInThePlacementOfOneWaitingRequestRefusesThatOneOnly() {
+        mScenario.addServer("b1", DispatchScenario.BOOKING, 1, 0);
+        int filling = 0;
+        while (mScenario.mDispatcher.waiting() == 0) {
+            mScenario.submit(mScenario.bookingRequest("f" + filling++));
+        }
+        mScenario.submit(mScenario.bookingRequest("faulty", "b"));
+        mScenario.submit(mScenario.bookingRequest("sound", "c"));
+        mScenario.mFaulty.add("faulty");
+        mScenario.addServer("b2", DispatchScenario.BOOKING, 6, 0);
+        mScenario.run(10);
+        assertThat(mScenario.mRefused).containsExactly("faulty:internal_fault:0");
+        assertThat(mScenario.mPlaced).contains("sound@b2");
+        assertThat(mScenario.mDispatcher.waiting()).isEqualTo(0);
+    }
+
     /**
      * Records ten answers of each of three servers; the given ones fail four, never three in a row.
      */
