Count the end of an attempt for the version that it began for

Cause: a request that ran at a server of a new version when the order to move came was counted as started for the old version and as ended for the new one. So the old version seemed to run requests for ever, and a good move ended as missed ("old version still runs 18 requests").

--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.id.LogText;
+import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.process.metrics.RetryReason;
 import org.jacinthwharf.request.dispatch.BackendServer;
@@ -66,6 +67,10 @@
     private final Set<String> mTriedServers = new HashSet<>();
     private final StreamRelay mStream;
     private Placement mPlacement;
+
+    /** The version that the current attempt counts for. */
+    private Optional<PoolId> mPool = Optional.empty();
+
     private ServerPool.Exchange mExchange;
 
     /** Answer to the current attempt; null before its head. */
@@ -259,7 +264,7 @@
         mSentNanos = now;
         mAnswer = null;
         FullHttpRequest copy = newServerRequest(placement, remainingMillis);
-        mContext.onAttemptStart(placement.server(), mDispatch);
+        mPool = mContext.onAttemptStart(placement.server(), mDispatch);
         // An earlier answer to this request must not be taken for one to this attempt.
         boolean newConnection = mTriedServers.contains(placement.server().id());
         mExchange = mContext.pool().send(placement.server().address(), copy, newConnection, this);
@@ -834,7 +839,7 @@
             long measuredNanos =
                     success.isPresent() && mFirstByteNanos > mSentNanos ? mFirstByteNanos : now();
             mContext.onAttemptEnd(
-                    placement.server(),
+                    mPool,
                     mDispatch,
                     success,
                     TimeUnit.NANOSECONDS.toMillis(measuredNanos - mSentNanos));
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import org.jacinthwharf.connection.BufferBudget;
 import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.request.dispatch.BackendServer;
@@ -46,17 +47,21 @@
     /** Applies what a server says about itself in the head of an answer. */
     void onAnswerHead(BackendServer server, ServerAnswer answer);
 
-    /** Records the start of an attempt, before the connection to the server is known to exist. */
-    void onAttemptStart(BackendServer server, DispatchRequest request);
+    /**
+     * Records the start of an attempt, before the connection to the server is known to exist;
+     * returns the version that it counts for, if any.
+     */
+    Optional<PoolId> onAttemptStart(BackendServer server, DispatchRequest request);
 
     /**
      * Records the end of an attempt.
      *
+     * @param pool what its start returned
      * @param success empty if the result says nothing about the version: the attempt was cancelled,
      *     did not run, or ended after its call
      */
     void onAttemptEnd(
-            BackendServer server, DispatchRequest request, Optional<Boolean> success, long millis);
+            Optional<PoolId> pool, DispatchRequest request, Optional<Boolean> success, long millis);
 
     /** Returns the service of a customer beyond that of the least served backlogged customer. */
     double leadTokens(CustomerId customer);
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -19,6 +19,7 @@
 import org.jacinthwharf.connection.ListeningPort;
 import org.jacinthwharf.connection.Uploads;
 import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.control.ConfigurationFollower;
@@ -517,14 +518,17 @@
     }
 
     @Override
-    public void onAttemptStart(BackendServer server, DispatchRequest request) {
-        mVersionSelector.onAttemptStart(server, request);
+    public Optional<PoolId> onAttemptStart(BackendServer server, DispatchRequest request) {
+        return mVersionSelector.onAttemptStart(server, request);
     }
 
     @Override
     public void onAttemptEnd(
-            BackendServer server, DispatchRequest request, Optional<Boolean> success, long millis) {
-        mVersionSelector.onAttemptEnd(server, request, success, millis);
+            Optional<PoolId> pool,
+            DispatchRequest request,
+            Optional<Boolean> success,
+            long millis) {
+        mVersionSelector.onAttemptEnd(pool, request, success, millis);
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
@@ -121,12 +121,24 @@
         return known && !version.equals(from) ? "other" : from;
     }
 
-    void onAttemptStart(BackendServer server, DispatchRequest request) {
-        evidencePool(server).ifPresent(p -> mDriver.onStart(p, request.route()));
+    /** Records the start of an attempt; returns the version that it counts for, if any. */
+    Optional<PoolId> onAttemptStart(BackendServer server, DispatchRequest request) {
+        Optional<PoolId> pool = evidencePool(server);
+        pool.ifPresent(p -> mDriver.onStart(p, request.route()));
+        return pool;
     }
 
+    /**
+     * Records the end of an attempt.
+     *
+     * @param pool what its start returned; a version move may have begun since then, and the server
+     *     may count for another version now
+     */
     void onAttemptEnd(
-            BackendServer server, DispatchRequest request, Optional<Boolean> success, long millis) {
+            Optional<PoolId> pool,
+            DispatchRequest request,
+            Optional<Boolean> success,
+            long millis) {
         EvidenceSink.AttemptResult result =
                 success.map(
                                 g ->
@@ -134,7 +146,7 @@
                                                 ? EvidenceSink.AttemptResult.COMPLETE
                                                 : EvidenceSink.AttemptResult.FAILED)
                         .orElse(EvidenceSink.AttemptResult.INCONCLUSIVE);
-        evidencePool(server).ifPresent(p -> mDriver.onEnd(p, request.route(), result, millis));
+        pool.ifPresent(p -> mDriver.onEnd(p, request.route(), result, millis));
     }
 
     private Optional<PoolId> evidencePool(BackendServer server) {
