Bound what is read of large bodies in a run; keep servers through a cut

Read again: a gateway that is cut off from control for ten minutes would have forgotten all servers; a configuration whose handling failed would not have come again with a new link (halts now); bodies of long prompts (72 KB) count as small, and the budget is half of the direct memory, since a busy gateway holds hundreds of them; an attempt that fails before it is counted does not end the one before it twice.

--- a/src/main/java/org/jacinthwharf/connection/BufferBudget.java
+++ b/src/main/java/org/jacinthwharf/connection/BufferBudget.java
@@ -12,13 +12,12 @@
  */
 public final class BufferBudget {
     /**
-     * A holder of up to this many bytes is small. Larger than the answer of a plain service and
-     * than most prompts.
+     * A holder of up to this many bytes is small: the answer of a plain service, or a long prompt.
      */
-    public static final int SMALL_BYTES = 64 << 10;
+    public static final int SMALL_BYTES = 128 << 10;
 
     /** Fraction of direct memory; the rest is for reads and writes in progress. */
-    private static final double DIRECT_MEMORY_FRACTION = 3.0 / 8;
+    private static final double DIRECT_MEMORY_FRACTION = 1.0 / 2;
 
     private static final double SMALL_FRACTION = 1.0 / 4;
 
--- a/src/main/java/org/jacinthwharf/connection/RequestAssembler.java
+++ b/src/main/java/org/jacinthwharf/connection/RequestAssembler.java
@@ -179,6 +179,11 @@
         return mHead != null;
     }
 
+    /** Returns whether more of a large body is due, or of one that is not read. */
+    public boolean isReceivingLargeBody() {
+        return mDiscarding || (mBody != null && mBody.readableBytes() > BufferBudget.SMALL_BYTES);
+    }
+
     long lastProgressNanos() {
         return mLastProgressNanos;
     }
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerPipeline.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerPipeline.java
@@ -1,13 +1,12 @@
 package org.jacinthwharf.process.gateway;
 
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.jacinthwharf.connection.BoundedReads;
 import org.jacinthwharf.connection.RequestAssembler;
 import org.jacinthwharf.connection.Uploads;
 import org.jacinthwharf.request.dispatch.RouteTable;
@@ -19,22 +18,6 @@
     private static final int DEFAULT_BODY_BYTES = 4 << 20;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
-    /**
-     * Bounds on what is read of one connection in a run of the event loop, so that a caller that
-     * sends tiny chunks does not hold up the others.
-     */
-    private static final int MAX_READS = 16;
-
-    private static final int MIN_READ_BYTES = 64;
-    private static final int FIRST_READ_BYTES = 2 << 10;
-    private static final int MAX_READ_BYTES = 8 << 10;
-
-    /** Reads until nothing is left, so that the end of the connection is seen with the request. */
-    private static final RecvByteBufAllocator READ_TO_END =
-            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
-                    .respectMaybeMoreData(false)
-                    .maxMessagesPerRead(MAX_READS);
-
     private final GatewayConfiguration mConfiguration;
     private final CallerConnection.RequestHandler mHandler;
     private final BooleanSupplier mDraining;
@@ -70,13 +53,11 @@
                         .setMaxChunkSize(MAX_CHUNK_BYTES);
         CallerConnection caller = new CallerConnection(mHandler, mDraining, mCallers::remove);
         mCallers.add(caller);
-        channel.config().setRecvByteBufAllocator(READ_TO_END);
-        channel.pipeline()
-                .addLast(new HttpServerCodec(config))
-                .addLast(
-                        new RequestAssembler(
-                                mUploads, orDefault(limits.getBodyBytes(), DEFAULT_BODY_BYTES)))
-                .addLast(caller);
+        RequestAssembler assembler =
+                new RequestAssembler(
+                        mUploads, orDefault(limits.getBodyBytes(), DEFAULT_BODY_BYTES));
+        channel.config().setRecvByteBufAllocator(new BoundedReads(assembler::isReceivingLargeBody));
+        channel.pipeline().addLast(new HttpServerCodec(config)).addLast(assembler).addLast(caller);
     }
 
     private static int orDefault(long value, int defaultValue) {
--- a/src/main/java/org/jacinthwharf/process/gateway/ControlLinks.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ControlLinks.java
@@ -82,10 +82,13 @@
         mListener.onMessage(VmId.of(link.peer().getVmId()), message);
     }
 
-    /** All state of a gateway comes again with a new link. */
+    /**
+     * The state of a gateway comes again with a new link, but for a configuration that it seems to
+     * have.
+     */
     @Override
     public boolean isContained(Envelope message) {
-        return true;
+        return !message.hasConfigurationPush();
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -838,8 +838,10 @@
             placement.end();
             long measuredNanos =
                     success.isPresent() && mFirstByteNanos > mSentNanos ? mFirstByteNanos : now();
+            Optional<PoolId> pool = mPool;
+            mPool = Optional.empty();
             mContext.onAttemptEnd(
-                    mPool,
+                    pool,
                     mDispatch,
                     success,
                     TimeUnit.NANOSECONDS.toMillis(measuredNanos - mSentNanos));
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -320,7 +320,11 @@
         mConfiguration.configuration().ifPresent(mVersionDriver::tick);
         mPool.closeExpired();
         mCrashGuard.expire();
-        mServerTable.removeGone(mLoop.nowNanos() - ServerDirectory.SILENCE_NANOS);
+        // Without control nothing is heard of servers, however well they are.
+        mServerTable.removeGone(
+                mControlLinks.isEmpty()
+                        ? Long.MIN_VALUE
+                        : mLoop.nowNanos() - ServerDirectory.SILENCE_NANOS);
         mRequestHandler.closeIdle(mCallers, mLoop.nowNanos());
         mActivity.logIfDue(mLoop.nowNanos(), mCalls.size(), mDispatcher.waiting(), mCallers.size());
     }
