--- a/src/main/java/org/jacinthwharf/connection/RequestAssembler.java
+++ b/src/main/java/org/jacinthwharf/connection/RequestAssembler.java
@@ -141,6 +141,9 @@
             mDiscarding = !(content instanceof LastHttpContent);
             return false;
         }
+        if (isReceivingLargeBody()) {
+            mUploads.onBegun(this); // Its length was not announced.
+        }
         return true;
     }
 
--- a/src/main/java/org/jacinthwharf/request/dispatch/GatewayRanks.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/GatewayRanks.java
@@ -1,8 +1,7 @@
 package org.jacinthwharf.request.dispatch;
 
 import com.google.common.collect.ImmutableMap;
-import java.util.ArrayList;
-import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,9 +9,11 @@
 
 /**
  * The rank of this gateway for each key, such as the id of a backend server, by rendezvous hash, so
- * that all gateways choose the same ones for it.
+ * that all gateways choose the same ones for it; and its fraction of what a few gateways may send,
+ * by the same hash weighted with {@link DemandShares}.
  *
- * <p>Not thread-safe. Invariant: gateways with the same list give each rank to one of them.
+ * <p>Not thread-safe. Invariants: gateways with the same list give each rank to one of them; those
+ * that also know the same demand have fractions that add up to 1.
  */
 public final class GatewayRanks {
     /** Keys come and go; their ranks are computed again once so many are kept. */
@@ -43,6 +44,9 @@
      */
     private record Part(double current, double previous) {}
 
+    /** The time that a gateway drew; the smallest ones are chosen. */
+    private record Draw(String gateway, double time) {}
+
     /** Sets the gateways to choose from. */
     public void setGateways(List<String> gateways) {
         mRanks.clear();
@@ -107,21 +111,16 @@
             return 0;
         }
         long hash = Rendezvous.hash(key);
-        double limit = drawnTime(hash, mSelf, own);
-        int earlier = 0;
-        List<Double> times = new ArrayList<>();
-        Map<Double, Double> shareByTime = new HashMap<>();
-        for (Map.Entry<String, Double> g : shares.entrySet()) {
-            double time = drawnTime(hash, g.getKey(), g.getValue());
-            earlier += time < limit ? 1 : 0;
-            times.add(time);
-            shareByTime.put(time, g.getValue());
-        }
-        if (earlier >= senders) {
+        List<Draw> chosen =
+                shares.entrySet().stream()
+                        .map(g -> new Draw(g.getKey(), drawnTime(hash, g.getKey(), g.getValue())))
+                        .sorted(Comparator.comparingDouble(Draw::time))
+                        .limit(senders)
+                        .toList();
+        if (chosen.stream().noneMatch(d -> d.gateway().equals(mSelf))) {
             return 0;
         }
-        Collections.sort(times);
-        return own / times.stream().limit(senders).mapToDouble(shareByTime::get).sum();
+        return own / chosen.stream().mapToDouble(d -> shares.get(d.gateway())).sum();
     }
 
     private double drawnTime(long keyHash, String gateway, double share) {
