Predict waits from starts while requests wait, and refuse what turns out late

Cause: the predicted wait of a request came from the starts of the last second, also if there were few for want of requests. The pattern in a module without network: GrownCustomerTest, a burst at a quiet gateway.

Ruled out: capacity (engines of the test are idle), the order of customers (there is one).

Change: starts count only while requests have been waiting, for at most a second and at least 100 ms; the rate is taken one standard deviation high. What was queued meanwhile and cannot start in time by that rate is refused then, not at its expiry. Expired requests leave the queue in one pass.

--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -163,7 +163,9 @@
             return refuse(
                     call, RefusalReason.DEADLINE_UNREACHABLE, retryAfterMillis(wait / MILLI_NANOS));
         }
-        queue.add(new WaitingRequests.Entry<>(request, call, excluded, latestStart, expiry));
+        queue.add(
+                new WaitingRequests.Entry<>(request, call, excluded, latestStart, expiry),
+                nowNanos);
         return ImmutableList.of();
     }
 
@@ -235,21 +237,28 @@
             return;
         }
         for (var expired : queue.removeIf(e -> e.expiryNanos() <= nowNanos)) {
-            mBacklog.onRefused(expired.request().customer(), nowNanos);
-            long wait =
-                    queue.predictedWaitNanos(
-                                    expired.request(), expired.latestStartNanos(), nowNanos)
-                            .orElse(0L);
-            actions.addAll(
-                    refuse(
-                            expired.call(),
-                            RefusalReason.QUEUE_FULL,
-                            retryAfterMillis(wait / MILLI_NANOS)));
+            actions.addAll(refuse(queue, expired, RefusalReason.QUEUE_FULL, nowNanos));
         }
         Optional<ServiceObjectives> service = mServices.apply(name);
         if (service.isPresent()) {
             placeWaiting(queue, service.get(), nowNanos, actions);
         }
+        for (var e : queue.removeUnreachable(nowNanos)) {
+            actions.addAll(refuse(queue, e, RefusalReason.DEADLINE_UNREACHABLE, nowNanos));
+        }
+    }
+
+    /** Refuses a request that has been removed from the queue. */
+    private ImmutableList<DispatchAction<R>> refuse(
+            WaitingRequests<R> queue,
+            WaitingRequests.Entry<R> entry,
+            RefusalReason reason,
+            long nowNanos) {
+        mBacklog.onRefused(entry.request().customer(), nowNanos);
+        long wait =
+                queue.predictedWaitNanos(entry.request(), entry.latestStartNanos(), nowNanos)
+                        .orElse(0L);
+        return refuse(entry.call(), reason, retryAfterMillis(wait / MILLI_NANOS));
     }
 
     private void placeWaiting(
--- a/src/main/java/org/jacinthwharf/request/dispatch/SlidingWindowCounter.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/SlidingWindowCounter.java
@@ -31,6 +31,18 @@
         return mTimes.size();
     }
 
+    /** Returns the number of events in the window that ends now and is at most this long. */
+    int countRecent(long nanos, long nowNanos) {
+        removeExpired(nowNanos);
+        int count = 0;
+        for (var times = mTimes.descendingIterator(); times.hasNext(); count++) {
+            if (nowNanos - times.next() > nanos) {
+                break;
+            }
+        }
+        return count;
+    }
+
     private void removeExpired(long nowNanos) {
         while (!mTimes.isEmpty() && nowNanos - mTimes.getFirst() > mWindowNanos) {
             mTimes.removeFirst();
--- a/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/WaitingRequests.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,6 +27,9 @@
 
     private static final long RATE_WINDOW_NANOS = 1_000_000_000L;
 
+    /** Shorter observations tell too little: several engines are often freed at once. */
+    private static final long MIN_OBSERVATION_NANOS = 100_000_000L;
+
     /**
      * One queued request.
      *
@@ -50,6 +55,9 @@
     private final SlidingWindowCounter mStarts = new SlidingWindowCounter(RATE_WINDOW_NANOS);
     private int mSize;
 
+    /** Since when there have been queued requests without a break. */
+    private long mWaitingSinceNanos;
+
     WaitingRequests(ServiceLedger ledger, Backlog backlog) {
         mLedger = ledger;
         mBacklog = backlog;
@@ -59,7 +67,10 @@
         return mSize;
     }
 
-    void add(Entry<R> entry) {
+    void add(Entry<R> entry, long nowNanos) {
+        if (mSize == 0) {
+            mWaitingSinceNanos = nowNanos;
+        }
         QueueKey key = key(entry.request());
         List<Entry<R>> queue = mQueues.computeIfAbsent(key, k -> new ArrayList<>());
         int index = queue.size();
@@ -118,10 +129,18 @@
 
     /** Removes and returns the requests that satisfy a condition. */
     List<Entry<R>> removeIf(Predicate<Entry<R>> condition) {
-        List<Entry<R>> found =
-                mQueues.values().stream().flatMap(Collection::stream).filter(condition).toList();
-        found.forEach(this::remove);
-        return found;
+        List<Entry<R>> removed = new ArrayList<>();
+        for (var queue : mQueues.entrySet()) {
+            List<Entry<R>> found = queue.getValue().stream().filter(condition).toList();
+            if (!found.isEmpty()) {
+                queue.getValue().removeIf(condition);
+                found.forEach(e -> mBacklog.onNoLongerWaiting(queue.getKey().customer()));
+                removed.addAll(found);
+            }
+        }
+        mSize -= removed.size();
+        mQueues.values().removeIf(List::isEmpty);
+        return removed;
     }
 
     private void remove(Entry<R> entry) {
@@ -139,30 +158,76 @@
 
     /**
      * Returns the predicted wait of a new request in nanoseconds, from the recent rate of starts;
-     * empty if its customer has no request ahead of it or nothing was started recently.
+     * empty if its customer has no request ahead of it or the rate is not known.
      *
      * <p>Ahead of it are its customer's requests with an earlier latest start, and the requests of
      * customers that received less service.
      */
     Optional<Long> predictedWaitNanos(
             DispatchRequest request, long latestStartNanos, long nowNanos) {
-        int starts = mStarts.count(nowNanos);
         QueueKey key = key(request);
         long ownAhead =
                 mQueues.getOrDefault(key, List.of()).stream()
                         .filter(e -> e.latestStartNanos() <= latestStartNanos)
                         .count();
         // The first request of a customer may start at once, however many others are queued.
-        if (ownAhead == 0 || starts == 0) {
+        return ownAhead == 0
+                ? Optional.empty()
+                : nanosPerStart(nowNanos)
+                        .map(n -> (long) ((ownAhead + ahead(key) + 1) * n.doubleValue()));
+    }
+
+    /**
+     * Returns the time that one start takes while requests wait; empty if it is not known.
+     *
+     * <p>Starts count only while requests have been waiting: before that, they were as rare as
+     * requests. The rate is the highest one that the starts make likely, one standard deviation
+     * above their mean, since a request that is refused for a wrong prediction is lost.
+     */
+    private Optional<Double> nanosPerStart(long nowNanos) {
+        long observed = Math.min(RATE_WINDOW_NANOS, nowNanos - mWaitingSinceNanos);
+        if (mSize == 0 || observed < MIN_OBSERVATION_NANOS) {
             return Optional.empty();
         }
+        int starts = mStarts.countRecent(observed, nowNanos);
+        return starts == 0
+                ? Optional.empty()
+                : Optional.of(observed / (starts + Math.sqrt(starts)));
+    }
+
+    /** Returns the number of requests of other customers that come before those of a queue. */
+    private long ahead(QueueKey key) {
         double counter = mLedger.counter(key.customer());
-        long othersAhead =
-                mQueues.entrySet().stream()
-                        .filter(e -> isBefore(e.getKey(), key, counter))
-                        .mapToLong(e -> e.getValue().size())
-                        .sum();
-        return Optional.of((ownAhead + othersAhead + 1) * RATE_WINDOW_NANOS / starts);
+        return mQueues.entrySet().stream()
+                .filter(e -> isBefore(e.getKey(), key, counter))
+                .mapToLong(e -> e.getValue().size())
+                .sum();
+    }
+
+    /**
+     * Removes and returns the requests that cannot start before they expire, as far as the rate of
+     * starts tells. Requests that are late already, and retries, wait until they expire.
+     */
+    List<Entry<R>> removeUnreachable(long nowNanos) {
+        Optional<Double> nanosPerStart = nanosPerStart(nowNanos);
+        if (nanosPerStart.isEmpty()) {
+            return List.of();
+        }
+        Set<Entry<R>> unreachable = Collections.newSetFromMap(new IdentityHashMap<>());
+        for (var queue : mQueues.entrySet()) {
+            long position = ahead(queue.getKey()) + 1;
+            boolean first = true;
+            for (Entry<R> e : queue.getValue()) {
+                boolean mayLeave = !first && !e.isLate(nowNanos) && e.excluded().isEmpty();
+                if (mayLeave && position * nanosPerStart.get() > e.expiryNanos() - nowNanos) {
+                    unreachable.add(e);
+                } else {
+                    position++;
+                }
+                first = false;
+            }
+        }
+        return unreachable.isEmpty() ? List.of() : removeIf(unreachable::contains);
     }
 
     private boolean isBefore(QueueKey other, QueueKey key, double counter) {
