Complete a move to the version that all servers run at once

Cause: such an order began a canary of 5 in 100 although no server of another version existed. The other requests were refused until the move ended, and all of them after it had missed its deadline, until the next order.

Ruled out: serving from the target at the gateway when nothing else is left; that would expose a bad version whenever the old servers are lost.

Change: the member that takes the order asks its directory. It must have run for the 5 s in which it learns of all servers, and know no server of the service with another version, silent ones included.

--- a/src/main/java/org/jacinthwharf/process/control/ChangeRules.java
+++ b/src/main/java/org/jacinthwharf/process/control/ChangeRules.java
@@ -149,6 +149,7 @@
                 : change(delta().addRemovedModels(id));
     }
 
+    /** Starts a move; one that is requested as done has its version in force at once. */
     private Decision startMove(Command command) {
         VersionMove requested = command.getStartMove();
         Model model = mState.model(requested.getModel());
@@ -169,6 +170,7 @@
         if (requested.getDeadlineMillis() <= command.getNowMillis()) {
             return refused("the deadline is in the past");
         }
+        boolean done = requested.getPhase() == MovePhase.DONE;
         VersionMove.Builder move =
                 requested.toBuilder()
                         .setId(
@@ -177,13 +179,17 @@
                                         : requested.getId())
                         .setFromVersion(model.getCurrentVersion())
                         .setStartedMillis(command.getNowMillis())
-                        .setPhase(MovePhase.CANARY)
+                        .setPhase(done ? MovePhase.DONE : MovePhase.CANARY)
                         .setPhaseSinceMillis(command.getNowMillis())
                         // The supervisor starts the canary once it has a baseline of the old
                         // version.
-                        .setShareBasisPoints(0)
+                        .setShareBasisPoints(done ? ALL_TRAFFIC_BASIS_POINTS : 0)
                         .clearReason();
-        return change(delta().addModels(model.toBuilder().setMove(move)));
+        Model.Builder changed = model.toBuilder().setMove(move);
+        if (done) {
+            changed.setCurrentVersion(requested.getToVersion());
+        }
+        return change(delta().addModels(changed));
     }
 
     private Decision moveStep(MoveStep step, long nowMillis) {
--- a/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
+++ b/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
@@ -123,6 +123,23 @@
         return forward(removed.get(), mSubscribers.keySet(), true).thenApply(v -> true);
     }
 
+    /**
+     * Returns whether all servers of a service that are known to run have a version. False while
+     * this member may not know all of them yet.
+     */
+    boolean runsOnly(String service, String version) {
+        if (mLoop.nowNanos() - mStartNanos < DISCOVERY_TIME.toNanos()) {
+            return false;
+        }
+        List<ServerRecord> running =
+                mDirectory.entries().stream()
+                        .map(ServerDirectory.Entry::record)
+                        .filter(r -> r.getService().equals(service))
+                        .filter(r -> r.getStatus() != ServerStatus.GONE)
+                        .toList();
+        return !running.isEmpty() && running.stream().allMatch(r -> r.getVersion().equals(version));
+    }
+
     private ServerRecord find(String server, long now) {
         return mDirectory.find(server).orElseThrow().toMessage(now);
     }
--- a/src/main/java/org/jacinthwharf/process/control/FleetControl.java
+++ b/src/main/java/org/jacinthwharf/process/control/FleetControl.java
@@ -9,6 +9,8 @@
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.wire.generated.Command;
 import org.jacinthwharf.wire.generated.Configuration;
+import org.jacinthwharf.wire.generated.MovePhase;
+import org.jacinthwharf.wire.generated.VersionMove;
 
 /**
  * Operations of a control member, for use by HTTP or other APIs.
@@ -43,6 +45,18 @@
                 command.toBuilder().setNowMillis(mLoop.nowMillis()).build().toByteString());
     }
 
+    /**
+     * Proposes a version move. A move to the version that all servers of the service run already is
+     * done when it begins: there is nothing to compare it with, and nothing else to serve with.
+     */
+    public CompletableFuture<ProposeOutcome> startMove(String commandId, VersionMove move) {
+        VersionMove.Builder proposed = move.toBuilder();
+        if (mDirectory.runsOnly(move.getModel(), move.getToVersion())) {
+            proposed.setPhase(MovePhase.DONE);
+        }
+        return propose(Command.newBuilder().setCommandId(commandId).setStartMove(proposed).build());
+    }
+
     /**
      * Reads the configuration linearizably, by confirming leadership first.
      *
--- a/src/test/java/org/jacinthwharf/process/control/DirectoryServiceTest.java
+++ b/src/test/java/org/jacinthwharf/process/control/DirectoryServiceTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import org.jacinthwharf.connection.Link;
 import org.jacinthwharf.wire.generated.DirectoryUpdate;
@@ -45,6 +46,24 @@
         mOther.mSent.clear();
     }
 
+    // Guards against a move that is done at once because a member has just started.
+    @Test
+    void servicesRunOneVersionOnlyOnceThisMemberKnowsAllServers() {
+        ServerRecord old = record(1, ServerStatus.SERVING).toBuilder().setVersion("v1").build();
+        ServerRecord young =
+                old.toBuilder().setServer("s2").setAddress("10.0.1.2:80").setVersion("v2").build();
+        mDirectory.announce(old);
+        assertThat(mDirectory.runsOnly("engines", "v1")).isFalse();
+        mLoop.advance(Duration.ofSeconds(5));
+        assertThat(mDirectory.runsOnly("engines", "v1")).isTrue();
+        assertThat(mDirectory.runsOnly("engines", "v2")).isFalse();
+        assertThat(mDirectory.runsOnly("portal", "v1")).isFalse();
+        mDirectory.announce(young);
+        assertThat(mDirectory.runsOnly("engines", "v1")).isFalse();
+        mDirectory.deregister("s2", 1);
+        assertThat(mDirectory.runsOnly("engines", "v1")).isTrue();
+    }
+
     @Test
     void anAnnouncementWithoutChangesGoesToTheGatewaysOfThisRelayOnly() {
         connect();
