Keep a part of the descriptors for servers: close idle callers first

Cause: nothing counted the connections of callers. At the limit of descriptors a process can neither accept nor connect to a server, and Netty stops accepting for a second.

Change: maxDescriptors of the settings (from the platform's limit), three quarters of what is not for files for callers. Beyond it the connections that are idle for longest are closed, and if none is, the new one, unread, so that its caller reaches another gateway at once. Event callers_full, counters idle_caller_closed and caller_connection_refused.

--- a/src/main/java/org/jacinthwharf/process/gateway/CallerPipeline.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerPipeline.java
@@ -4,7 +4,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.jacinthwharf.connection.BoundedReads;
 import org.jacinthwharf.connection.RequestAssembler;
@@ -21,14 +20,14 @@
     private final GatewayConfiguration mConfiguration;
     private final CallerConnection.RequestHandler mHandler;
     private final BooleanSupplier mDraining;
-    private final Set<CallerConnection> mCallers;
+    private final CallerConnections mCallers;
     private final Uploads mUploads;
 
     CallerPipeline(
             GatewayConfiguration configuration,
             CallerConnection.RequestHandler handler,
             BooleanSupplier draining,
-            Set<CallerConnection> callers,
+            CallerConnections callers,
             Uploads uploads) {
         mConfiguration = configuration;
         mHandler = handler;
@@ -52,7 +51,10 @@
                         .setMaxHeaderSize(header)
                         .setMaxChunkSize(MAX_CHUNK_BYTES);
         CallerConnection caller = new CallerConnection(mHandler, mDraining, mCallers::remove);
-        mCallers.add(caller);
+        if (!mCallers.add(caller, System.nanoTime())) {
+            channel.close();
+            return;
+        }
         RequestAssembler assembler =
                 new RequestAssembler(
                         mUploads, orDefault(limits.getBodyBytes(), DEFAULT_BODY_BYTES));
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jacinthwharf.connection.HttpCall;
@@ -252,7 +251,7 @@
     }
 
     /** Closes caller connections that exceed the idle timeout in force. */
-    void closeIdle(Set<CallerConnection> callers, long nowNanos) {
+    void closeIdle(ImmutableList<CallerConnection> callers, long nowNanos) {
         long limit =
                 mConfiguration
                         .routes()
@@ -260,7 +259,7 @@
                         .orElse(0L);
         if (limit > 0) {
             long oldest = nowNanos - TimeUnit.MILLISECONDS.toNanos(limit);
-            ImmutableList.copyOf(callers).stream()
+            callers.stream()
                     .filter(c -> c.idleSinceNanos() < oldest)
                     .forEach(CallerConnection::close);
         }
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -98,7 +98,7 @@
     private final HttpEndpoint mMetricsEndpoint;
     private final BufferBudget mBufferBudget = BufferBudget.ofProcess();
     private final Set<ForwardedCall> mCalls = new HashSet<>();
-    private final Set<CallerConnection> mCallers = new HashSet<>();
+    private final CallerConnections mCallers;
     private Channel mListener;
     private boolean mDispatchScheduled;
     private long mLastTickNanos;
@@ -116,6 +116,7 @@
         mHeaderCodec = headerCodec;
         mLoop = loop;
         mMetrics = metrics;
+        mCallers = new CallerConnections(settings.maxDescriptors(), metrics);
         mSelf = RouterIncarnation.of(settings.self(), loop.nowMillis());
         mLinks = new Links(hello(), loop, metrics, loop.group());
         mControlLinks = new ControlLinks(settings, mLinks, new ControlMessages());
@@ -277,7 +278,7 @@
 
     private void closeIdleCallers() {
         long now = mLoop.nowNanos();
-        ImmutableList.copyOf(mCallers).stream()
+        mCallers.all().stream()
                 .filter(c -> !c.isReceiving())
                 .filter(c -> c.idleSinceNanos() < now - GatewayStop.MIN_IDLE_NANOS)
                 .forEach(CallerConnection::close);
@@ -325,7 +326,7 @@
                 mControlLinks.isEmpty()
                         ? Long.MIN_VALUE
                         : mLoop.nowNanos() - ServerDirectory.SILENCE_NANOS);
-        mRequestHandler.closeIdle(mCallers, mLoop.nowNanos());
+        mRequestHandler.closeIdle(mCallers.all(), mLoop.nowNanos());
         mActivity.logIfDue(mLoop.nowNanos(), mCalls.size(), mDispatcher.waiting(), mCallers.size());
     }
 
--- a/src/main/java/org/jacinthwharf/process/settings/NodeSettings.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettings.java
@@ -25,6 +25,7 @@
  * @param dataFolder folder for all files of the process; empty for a gateway
  * @param regions region of each failure domain
  * @param bounds bounds that the fleet guarantees
+ * @param maxDescriptors descriptors that the process may have open, files included
  */
 public record NodeSettings(
         String vmId,
@@ -36,11 +37,22 @@
         boolean mayFound,
         String dataFolder,
         Map<String, String> regions,
-        NodeBounds bounds) {
+        NodeBounds bounds,
+        int maxDescriptors) {
+    /** Limit of a process whose settings name none. */
+    public static final int DEFAULT_MAX_DESCRIPTORS = 4_096;
+
+    /** A gateway needs some for files, servers and other processes besides its callers. */
+    public static final int LEAST_MAX_DESCRIPTORS = 256;
 
     /** Creates settings; the VM id must be an IP address. */
     public NodeSettings {
         Preconditions.checkArgument(Endpoint.isIp(vmId), "vmId must be an IP address: '%s'", vmId);
+        Preconditions.checkArgument(
+                maxDescriptors >= LEAST_MAX_DESCRIPTORS,
+                "maxDescriptors must be at least %s, not %s",
+                LEAST_MAX_DESCRIPTORS,
+                maxDescriptors);
         seeds = ImmutableList.copyOf(seeds);
         regions = ImmutableMap.copyOf(regions);
     }
--- a/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
@@ -70,7 +70,24 @@
                         requireMillis(bounds, "stopGrace", key),
                         require(bounds, "retryRatio", key).asDouble(),
                         requireMillis(bounds, "retryWindow", key),
-                        require(bounds, "retrySlack", key).asDouble()));
+                        require(bounds, "retrySlack", key).asDouble()),
+                maxDescriptors(root, key));
+    }
+
+    private static int maxDescriptors(JsonNode root, String[] key) {
+        key[0] = "maxDescriptors";
+        JsonNode value = root.path(key[0]);
+        if (value.isMissingNode()) {
+            return NodeSettings.DEFAULT_MAX_DESCRIPTORS;
+        }
+        if (!value.canConvertToInt() || value.asInt() < NodeSettings.LEAST_MAX_DESCRIPTORS) {
+            throw new IllegalArgumentException(
+                    "must be a number from "
+                            + NodeSettings.LEAST_MAX_DESCRIPTORS
+                            + ", not "
+                            + value);
+        }
+        return value.asInt();
     }
 
     /**
--- a/src/test/java/org/jacinthwharf/process/gateway/GoneCallerTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/GoneCallerTest.java
@@ -9,9 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +19,7 @@
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.control.ConfigurationFollower;
 import org.jacinthwharf.process.loop.NettyEventLoop;
+import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -48,7 +47,7 @@
 
     @BeforeEach
     void listen() throws Exception {
-        Set<CallerConnection> callers = new HashSet<>();
+        CallerConnections callers = new CallerConnections(4_096, new FleetMetrics());
         mPort =
                 ListeningPort.open(
                         mLoop.group(),
--- a/src/test/java/org/jacinthwharf/process/settings/NodeSettingsReaderTest.java
+++ b/src/test/java/org/jacinthwharf/process/settings/NodeSettingsReaderTest.java
@@ -12,14 +12,19 @@
 /** Guards against a time that a process reads in another unit than its settings give it. */
 final class NodeSettingsReaderTest {
     private static SettingsResult<NodeSettings> read(String grace) {
+        return read(grace, "");
+    }
+
+    private static SettingsResult<NodeSettings> read(String grace, String more) {
         String settings =
                 String.format(
                         Locale.ROOT,
                         "{\"vmId\":\"10.0.0.1\",\"failureDomain\":\"west\",\"region\":\"r\","
                                 + "\"peerPort\":7,\"seeds\":[],\"listen\":{},\"bounds\":{"
                                 + "\"announceMillis\":1000,%s,\"retryRatio\":0.2,"
-                                + "\"retryWindowSeconds\":10,\"retrySlack\":50}}",
-                        grace);
+                                + "\"retryWindowSeconds\":10,\"retrySlack\":50}%s}",
+                        grace,
+                        more);
         return new NodeSettingsReader().read("f", settings.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -56,4 +61,17 @@
         String problem = ((SettingsResult.Invalid<NodeSettings>) result).problems().toString();
         assertThat(problem).contains("stopGrace");
     }
+
+    // A limit that is left out, given by the platform, or of no use.
+    @Test
+    void descriptorsAreLimitedAsGivenOrByTheDefault() {
+        String grace = "\"stopGraceSeconds\":8";
+        assertThat(read(grace).toString()).contains("maxDescriptors=4096");
+        assertThat(read(grace, ",\"maxDescriptors\":4100").toString())
+                .contains("maxDescriptors=4100");
+        for (String odd : new String[] {"12", "-1", "\"many\"", "1e12"}) {
+            assertThat(read(grace, ",\"maxDescriptors\":" + odd).toString())
+                    .contains("/maxDescriptors");
+        }
+    }
 }
