--- a/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
+++ b/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
@@ -43,7 +43,11 @@
 
     private static final Duration BATCH_INTERVAL = Duration.ofMillis(500);
 
-    private final ServerDirectory mDirectory = new ServerDirectory();
+    private final ServerDirectory mDirectory =
+            new ServerDirectory(
+                    id ->
+                            LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                                    "event=directory_full forgotten=%s", LogText.of(id)));
     private final Map<Link, Subscriber> mSubscribers = new LinkedHashMap<>();
     private final Set<String> mRefreshed = new HashSet<>();
     private final Set<String> mRefreshedByMembers = new HashSet<>();
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -128,7 +128,7 @@
                         loop);
         mDirectory =
                 new DirectoryFollower(
-                        new ServerDirectory(),
+                        new ServerDirectory(mServerTable::forget),
                         mServerTable,
                         settings.peer().toSocketAddress().getAddress(),
                         loop);
--- a/src/main/java/org/jacinthwharf/process/membership/ServerDirectory.java
+++ b/src/main/java/org/jacinthwharf/process/membership/ServerDirectory.java
@@ -1,11 +1,14 @@
 package org.jacinthwharf.process.membership;
 
 import com.google.common.collect.ImmutableList;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jacinthwharf.wire.generated.ServerRecord;
 import org.jacinthwharf.wire.generated.ServerStatus;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A directory of all backend servers, merged from records that may be late or repeated.
@@ -13,7 +16,9 @@
  * <p>Invariants: of two records of one server, the one with the later start wins, then the one with
  * the higher sequence number; a server that was draining or gone does not serve again in the same
  * incarnation; a server is not added if a server that started later has the same address. Outdated
- * records therefore change nothing. Not thread-safe.
+ * records therefore change nothing. The records have at most {@link #MAX_BYTES} together; beyond
+ * that the servers are forgotten that have not been heard of for longest, which sound servers are
+ * not. Not thread-safe.
  */
 public final class ServerDirectory {
     /** Time for which a server that is gone is kept, so that late records cannot restore it. */
@@ -25,9 +30,28 @@
      */
     public static final long SILENCE_NANOS = 600_000_000_000L;
 
+    /**
+     * Three times the records of the 10,000 servers designed for; another writer may add entries of
+     * 64 KB.
+     */
+    static final long MAX_BYTES = 8L << 20;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    private final Map<String, Entry> mServers = new HashMap<>();
+    /** In the order of their last changes. */
+    private final Map<String, Entry> mServers = new LinkedHashMap<>();
+
+    private final Consumer<String> mOnForgotten;
+    private long mBytes;
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param onForgotten receives the ids of servers that are forgotten for want of room
+     */
+    public ServerDirectory(Consumer<String> onForgotten) {
+        mOnForgotten = onForgotten;
+    }
 
     /**
      * The state of one server.
@@ -103,7 +127,22 @@
     }
 
     private void put(ServerRecord record, long lastReceivedNanos, long coldUntilNanos) {
+        onRemoved(mServers.remove(record.getServer()));
         mServers.put(record.getServer(), new Entry(record, lastReceivedNanos, coldUntilNanos));
+        mBytes += record.getSerializedSize();
+        Iterator<Entry> oldest = mServers.values().iterator();
+        while (mBytes > MAX_BYTES && mServers.size() > 1) {
+            Entry forgotten = oldest.next();
+            oldest.remove();
+            onRemoved(forgotten);
+            mOnForgotten.accept(forgotten.record().getServer());
+        }
+    }
+
+    private void onRemoved(@Nullable Entry entry) {
+        if (entry != null) {
+            mBytes -= entry.record().getSerializedSize();
+        }
     }
 
     private boolean isSupersededAtAddress(ServerRecord record) {
@@ -129,7 +168,15 @@
 
     /** Removes expired tombstones of servers that are gone, and servers that went silent. */
     public void expire(long nowNanos) {
-        mServers.values().removeIf(e -> nowNanos - e.lastReceivedNanos() > lifetimeNanos(e));
+        mServers.values()
+                .removeIf(
+                        e -> {
+                            boolean expired = nowNanos - e.lastReceivedNanos() > lifetimeNanos(e);
+                            if (expired) {
+                                onRemoved(e);
+                            }
+                            return expired;
+                        });
     }
 
     private static long lifetimeNanos(Entry e) {
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerTable.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerTable.java
@@ -15,6 +15,7 @@
 import org.jacinthwharf.wire.generated.ServerRateLimit;
 import org.jacinthwharf.wire.generated.ServerRecord;
 import org.jacinthwharf.wire.generated.ServerStatus;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The backend servers that a gateway knows, with the load and health that it records for each.
@@ -47,7 +48,7 @@
             mServers.put(record.getServer(), server);
             mByService.computeIfAbsent(record.getService(), s -> new ArrayList<>()).add(server);
         } else if (!server.service().equals(record.getService())) {
-            mByService.get(server.service()).remove(server);
+            removeFromService(server);
             mByService.computeIfAbsent(record.getService(), s -> new ArrayList<>()).add(server);
         }
         server.update(record, address, lastReceivedNanos, coldUntilNanos);
@@ -56,12 +57,25 @@
         }
     }
 
-    private void remove(BackendServer server) {
+    private void remove(@Nullable BackendServer server) {
         if (server != null && mServers.remove(server.id(), server)) {
-            mByService.get(server.service()).remove(server);
+            removeFromService(server);
         }
     }
 
+    private void removeFromService(BackendServer server) {
+        List<BackendServer> servers = mByService.get(server.service());
+        servers.remove(server);
+        if (servers.isEmpty()) {
+            mByService.remove(server.service());
+        }
+    }
+
+    /** Removes a server that the directory has no room for, unless it runs a request. */
+    public void forget(String id) {
+        find(id).filter(s -> s.running() == 0).ifPresent(this::remove);
+    }
+
     /**
      * Removes servers that run no request of this gateway and are gone, or were last heard from
      * before the given time.
@@ -81,7 +95,7 @@
         return mByService.getOrDefault(service, List.of());
     }
 
-    /** Returns the names of the services that have had servers. */
+    /** Returns the names of the services that have servers. */
     Set<String> services() {
         return mByService.keySet();
     }
--- a/src/test/java/org/jacinthwharf/process/membership/ServerDirectoryTest.java
+++ b/src/test/java/org/jacinthwharf/process/membership/ServerDirectoryTest.java
@@ -2,13 +2,16 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.jacinthwharf.wire.generated.ServerRecord;
 import org.jacinthwharf.wire.generated.ServerStatus;
 import org.junit.jupiter.api.Test;
 
 /** Guards against late records that restore an outdated state. */
 final class ServerDirectoryTest {
-    private final ServerDirectory mDirectory = new ServerDirectory();
+    private final List<String> mForgotten = new ArrayList<>();
+    private final ServerDirectory mDirectory = new ServerDirectory(mForgotten::add);
 
     private static ServerRecord record(
             String id, String address, long born, long sequence, ServerStatus status) {
@@ -26,6 +29,30 @@
         return mDirectory.find(id).orElseThrow().record().getStatus();
     }
 
+    /** Guards against another writer whose entries use up the memory of all processes. */
+    @Test
+    void recordsAreBoundInBytesAndServersThatGoOnAnnouncingThemselvesAreKept() {
+        String longName = "v".repeat(16 << 10);
+        for (int i = 0; i < 20_000; i++) {
+            mDirectory.merge(
+                    record("odd" + i, "x" + i, 1, 1, ServerStatus.SERVING).toBuilder()
+                            .setVersion(longName)
+                            .build(),
+                    i);
+            if (i % 100 == 0) {
+                mDirectory.merge(record("sound", "y", 1, i + 1, ServerStatus.SERVING), i);
+            }
+        }
+        long bytes =
+                mDirectory.entries().stream().mapToLong(e -> e.record().getSerializedSize()).sum();
+        assertThat(bytes).isAtMost(8 << 20);
+        assertThat(mDirectory.find("sound")).isPresent();
+        assertThat(mForgotten).hasSize(20_001 - mDirectory.entries().size());
+        mDirectory.expire(Long.MAX_VALUE / 2);
+        mDirectory.merge(record("later", "z", 1, 1, ServerStatus.SERVING), 0);
+        assertThat(mDirectory.entries()).hasSize(1);
+    }
+
     @Test
     void lateRecordsDoNotRestoreDrainingServers() {
         mDirectory.merge(record("a", "x", 1, 5, ServerStatus.DRAINING), 0);
