--- a/src/main/java/org/jacinthwharf/request/admission/ServiceLedger.java
+++ b/src/main/java/org/jacinthwharf/request/admission/ServiceLedger.java
@@ -273,6 +273,9 @@
      * customers stays the same.
      */
     void limitLeads(double service, double minLead) {
+        if (mBacklogged.isEmpty()) {
+            return;
+        }
         double weights = mBacklogged.stream().mapToDouble(a -> a.mWeight).sum();
         double largest = mBacklogged.stream().mapToDouble(a -> a.mCounter).max().orElse(0);
         double floor = largest - Math.max(minLead, service / weights);
