--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -560,8 +560,6 @@
         if (mAnswer.isNotRun()) {
             if (mAnswer.isMisdirected()) {
                 mPlacement.server().onUnreachable(now());
-            } else {
-                mContext.onRejected(mPlacement.server(), mDispatch);
             }
             onNotRun(RetryReason.BACKEND_NOT_RUN, "status " + status);
         } else if (status >= 500) {
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -44,9 +44,6 @@
     /** Schedules the dispatch of waiting requests after a server has gained free capacity. */
     void onCapacityFreed();
 
-    /** Records that a server rejected a request for want of room, without running it. */
-    void onRejected(BackendServer server, DispatchRequest request);
-
     /** Applies what a server says about itself in the head of an answer. */
     void onAnswerHead(BackendServer server, ServerAnswer answer);
 
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -517,11 +517,6 @@
         }
     }
 
-    @Override
-    public void onRejected(BackendServer server, DispatchRequest request) {
-        mDispatcher.onRejected(server, request, mLoop.nowNanos());
-    }
-
     @Override
     public void onAnswerHead(BackendServer server, ServerAnswer answer) {
         mServerStatements.onAnswer(server, answer);
--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -25,12 +25,6 @@
     /** A server that was not ejected for this long starts again with the shortest ejection. */
     private static final long EJECTION_RESET_NANOS = 10_000_000_000L;
 
-    /** About the time in which one of a dozen running requests ends. */
-    private static final long MIN_FULL_NANOS = 50_000_000L;
-
-    /** Longer than a relay of load is missing; a server may be free again long before. */
-    private static final long MAX_FULL_NANOS = 400_000_000L;
-
     /** Window in which a server's answers are compared with those of its peers. */
     private static final long ANSWERS_WINDOW_NANOS = 4_000_000_000L;
 
@@ -55,8 +49,6 @@
     private long mColdUntilNanos;
     private boolean mLeaving;
     private long mPausedUntilNanos = Long.MIN_VALUE / 2;
-    private long mFullUntilNanos = Long.MIN_VALUE / 2;
-    private long mFullNanos = MIN_FULL_NANOS;
     private int mRunning;
     private long mPendingPrefillTokens;
     private long mHeldTokens;
@@ -170,22 +162,6 @@
         return nowNanos < mPausedUntilNanos;
     }
 
-    /**
-     * Records that the server rejected a request for want of room, whatever its load seems to be;
-     * consecutive rejections keep it out of use for an increasing time.
-     */
-    void onRejected(long nowNanos) {
-        if (!isFull(nowNanos)) {
-            mFullUntilNanos = nowNanos + mFullNanos;
-            mFullNanos = Math.min(MAX_FULL_NANOS, 2 * mFullNanos);
-        }
-    }
-
-    /** Returns whether the server has just rejected a request for want of room. */
-    boolean isFull(long nowNanos) {
-        return nowNanos < mFullUntilNanos;
-    }
-
     /** Returns the number of requests of this gateway that run there. */
     public int running() {
         return mRunning;
@@ -277,7 +253,6 @@
     public void onSuccess(long nowNanos) {
         mConsecutiveFailures = 0;
         mUnreachable = false;
-        mFullNanos = MIN_FULL_NANOS;
         mAnswers.add(nowNanos);
     }
 
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -37,9 +37,6 @@
     /** Bound on the queue of one service; requests beyond it would expire in the queue. */
     private static final int MAX_WAITING_PER_SERVICE = 2_000;
 
-    /** A request that needs more of an engine's KV cache may be rejected by one that has slots. */
-    private static final double LARGE_CACHE_FRACTION = 0.25;
-
     private static final long MILLI_NANOS = 1_000_000L;
 
     /** A retry that finds no capacity for this long is too late to be of use to the caller. */
@@ -345,14 +342,11 @@
         List<BackendServer> usable = new ArrayList<>();
         List<BackendServer> ejected = new ArrayList<>();
         List<BackendServer> unreachable = new ArrayList<>();
-        int full = 0;
         for (BackendServer s : mServerTable.ofService(objectives.service().getName())) {
             s.recordPendingPrefill(nowNanos);
             if (mHealth.isAvailable(s, nowNanos)
                     && mPermits.allows(s, objectives.service(), nowNanos)) {
-                if (s.isFull(nowNanos)) {
-                    full++;
-                } else if (!s.isEjected(nowNanos)) {
+                if (!s.isEjected(nowNanos)) {
                     usable.add(s);
                 } else {
                     (s.isUnreachable() ? unreachable : ejected).add(s);
@@ -361,10 +355,10 @@
         }
         // If most servers fail, the cause is probably a common one, and ejecting them all would
         // stop the service.
-        if (usable.size() + full < ejected.size()) {
+        if (usable.size() < ejected.size()) {
             usable.addAll(ejected);
         }
-        return usable.isEmpty() && full == 0 ? unreachable : usable;
+        return usable.isEmpty() ? unreachable : usable;
     }
 
     private Optional<Placement> place(
@@ -431,27 +425,6 @@
                 : Optional.empty();
     }
 
-    /**
-     * Records that a server rejected a request without running it, which tells of its load before
-     * the other gateways do. Not for large prompts: an engine may have no room for one of them and
-     * enough for all others.
-     */
-    public void onRejected(BackendServer server, DispatchRequest request, long nowNanos) {
-        boolean large =
-                mServices
-                        .apply(request.service())
-                        .filter(ServiceObjectives::isEngine)
-                        .filter(
-                                s ->
-                                        request.promptTokens() + request.outputTokens()
-                                                > LARGE_CACHE_FRACTION
-                                                        * s.service().getCacheTokens())
-                        .isPresent();
-        if (!large) {
-            server.onRejected(nowNanos);
-        }
-    }
-
     /**
      * Ejects servers that fail far more often than their peers; must be called a few times a
      * second.
