Accept servers of every service that a configuration may name

Callers got 503 for every request to a service whose name has a tab: its configuration was accepted with 200, but each announcement of its servers was refused, so it never had a server.

Cause: the check of configurations accepted any name, the check of server records refused control characters, and names longer than 16 KB.

Ruled out: refusing such names in configurations. The operators' interface sets no alphabet, and names go into messages and, escaped by LogText, into logs, but into no header.

Change: one rule for names of services, RoutingTableCheck.isServiceName, which the check of records uses as well; versions are any text of the same length. Names longer than 16 KB are refused where the configuration comes in.

--- a/src/main/java/org/jacinthwharf/process/membership/ServerRecordCheck.java
+++ b/src/main/java/org/jacinthwharf/process/membership/ServerRecordCheck.java
@@ -5,6 +5,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
 import org.jacinthwharf.connection.ServerAddress;
+import org.jacinthwharf.request.dispatch.RoutingTableCheck;
 import org.jacinthwharf.wire.generated.DirectoryUpdate;
 import org.jacinthwharf.wire.generated.ServerRecord;
 import org.jacinthwharf.wire.generated.ServerStatus;
@@ -12,8 +13,8 @@
 /**
  * Validates records of backend servers, which may come from another writer.
  *
- * <p>Stateless and thread-safe. A valid record can be routed to, sent in headers and logged, and
- * sums of its times do not overflow.
+ * <p>Stateless and thread-safe. A valid record can be routed to and its id sent in headers, and
+ * sums of its times do not overflow. Its service and version are any text, as in a configuration.
  */
 public final class ServerRecordCheck {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -21,9 +22,6 @@
     /** Ids are sent in a header of each request; failure domains are named in settings. */
     private static final int MAX_ID_LENGTH = 256;
 
-    /** Names of services and versions may be as long as an operator likes; this bounds memory. */
-    private static final int MAX_NAME_LENGTH = 16 << 10;
-
     private static final int MAX_SLOTS = 100_000;
     private static final int SHOWN_LENGTH = 64;
 
@@ -48,13 +46,14 @@
                 || !ID_CHARACTERS.matchesAllOf(r.getServer())) {
             return malformed("server", r.getServer());
         }
-        if (r.getService().isEmpty() || !isPrintable(r.getService())) {
+        if (!RoutingTableCheck.isServiceName(r.getService())) {
             return malformed("service", r.getService());
         }
-        if (r.getFailureDomain().length() > MAX_ID_LENGTH || !isPrintable(r.getFailureDomain())) {
+        if (r.getFailureDomain().length() > MAX_ID_LENGTH
+                || CharMatcher.javaIsoControl().matchesAnyOf(r.getFailureDomain())) {
             return malformed("failure domain", r.getFailureDomain());
         }
-        if (!isPrintable(r.getVersion())) {
+        if (r.getVersion().length() > RoutingTableCheck.MAX_NAME_LENGTH) {
             return malformed("version", r.getVersion());
         }
         if (ServerAddress.parse(r.getAddress()).isEmpty()) {
@@ -104,8 +103,4 @@
     private static boolean isWithin(long value, long max) {
         return value >= 0 && value <= max;
     }
-
-    private static boolean isPrintable(String text) {
-        return text.length() <= MAX_NAME_LENGTH && CharMatcher.javaIsoControl().matchesNoneOf(text);
-    }
 }
--- a/src/main/java/org/jacinthwharf/request/dispatch/RoutingTableCheck.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/RoutingTableCheck.java
@@ -14,18 +14,36 @@
 import org.jacinthwharf.wire.generated.Service;
 import org.jacinthwharf.wire.generated.ServiceShare;
 
-/** Validates routing tables before they come into force. Stateless and thread-safe. */
+/**
+ * Validates routing tables before they come into force.
+ *
+ * <p>Stateless and thread-safe. Invariant: what a valid table names can be used by all parts of the
+ * system; no type behind this check refuses it.
+ */
 public final class RoutingTableCheck {
+    /** Names of services and versions may be as long as an operator likes; this bounds memory. */
+    public static final int MAX_NAME_LENGTH = 16 << 10;
+
     private RoutingTableCheck() {}
 
+    /** Returns whether servers can be announced for a service of this name. */
+    public static boolean isServiceName(String name) {
+        return !name.isEmpty() && name.length() <= MAX_NAME_LENGTH;
+    }
+
     /**
      * Returns the first problem of a table as a message with the invalid value, if there is any.
      */
     public static Optional<String> problem(RoutingTable table) {
         Set<String> services = new HashSet<>();
         for (Service s : table.getServicesList()) {
-            if (s.getName().isEmpty() || !services.add(s.getName())) {
-                return problem("service '%s' has no name or is listed twice", s.getName());
+            if (!isServiceName(s.getName())) {
+                return problem(
+                        "the name of a service has %d characters, 1 to %d allowed",
+                        s.getName().length(), MAX_NAME_LENGTH);
+            }
+            if (!services.add(s.getName())) {
+                return problem("service '%s' is listed twice", s.getName());
             }
         }
         Map<String, String> routesByPrefix = new HashMap<>();
