Refuse customers whose name no header can carry

After a configuration with a customer named " hule" was accepted with 200, each request of that customer got 503, with a stack trace each (call_fault: the header cannot begin with a space).

A space at the end is not refused, but receivers remove it, so the server reads the name of another customer.

Ruled out: sending the name without its spaces, since servers would charge another customer; an encoding, since servers know none.

Change: a configuration with a name that begins or ends with a space is refused with 400, as one with a control character was before.

Test: LegalValuesTest.customersThatNoHeaderCanNameAreRefusedWithTheirConfiguration; the two cases with spaces failed before, the two with control characters passed.

--- a/src/main/java/org/jacinthwharf/request/dispatch/RoutingTableCheck.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/RoutingTableCheck.java
@@ -24,6 +24,8 @@
     /** Names of services and versions may be as long as an operator likes; this bounds memory. */
     public static final int MAX_NAME_LENGTH = 16 << 10;
 
+    private static final CharMatcher PADDING = CharMatcher.anyOf(" \t");
+
     private RoutingTableCheck() {}
 
     /** Returns whether servers can be announced for a service of this name. */
@@ -31,6 +33,15 @@
         return !name.isEmpty() && name.length() <= MAX_NAME_LENGTH;
     }
 
+    /**
+     * Returns whether a header can carry the text unchanged. Receivers remove spaces around a
+     * value, so a name with one at an end would be read as another name.
+     */
+    private static boolean isHeaderValue(String text) {
+        return CharMatcher.javaIsoControl().matchesNoneOf(text)
+                && PADDING.trimFrom(text).equals(text);
+    }
+
     /**
      * Returns the first problem of a table as a message with the invalid value, if there is any.
      */
@@ -60,7 +71,7 @@
         }
         Map<String, String> customersByKey = new HashMap<>();
         for (KeyHolder holder : table.getKeyHoldersList()) {
-            if (CharMatcher.javaIsoControl().matchesAnyOf(holder.getCustomer())) {
+            if (!isHeaderValue(holder.getCustomer())) {
                 return problem("customer '%s' cannot be sent in a header", holder.getCustomer());
             }
             for (String key : holder.getKeysList()) {
