Take SIGHUP and SIGTERM from the begin of a process

Cause: the handlers were installed after the start had returned; until then the JVM's own handler of SIGHUP ends it. A SIGTERM within the start, when the ports are open already, ended the process without the steps of a planned stop, so what it had read by then would be cut; that window is some milliseconds and was found by reading, not seen.

Ruled out: ignoring SIGHUP until the settings are read, since the file may change while they are.

Change: ReloadSignal takes SIGHUP in the first statement of main and keeps one that comes too early; ShutdownSignal registers the stop before the start, and a signal during the start takes effect after it, in the router and the older control role as well. What remains: some tens of milliseconds of the JVM's own start, in which nothing listens yet.

--- a/src/main/java/org/jacinthwharf/cli/ControlCommand.java
+++ b/src/main/java/org/jacinthwharf/cli/ControlCommand.java
@@ -52,13 +52,15 @@
         }
         var storage = ((StorageOpenResult.Opened) openResult).storage();
         ThreadEventLoop loop = ThreadEventLoop.haltingProcess("decisions");
-        ControlProcess process =
-                ControlProcess.start(
-                        settings,
-                        loop,
-                        new FleetMetrics(),
-                        ControlAssembly.components(settings, storage, !mJoinOnly, loop));
-        ShutdownSignal.awaitThenRun(process::close);
+        ShutdownSignal.startAndAwait(
+                () ->
+                        ControlProcess.start(
+                                        settings,
+                                        loop,
+                                        new FleetMetrics(),
+                                        ControlAssembly.components(
+                                                settings, storage, !mJoinOnly, loop))
+                                ::close);
         loop.close();
         return 0;
     }
--- a/src/main/java/org/jacinthwharf/cli/ProcessSignals.java
+++ b/src/main/java/org/jacinthwharf/cli/ProcessSignals.java
@@ -11,7 +11,6 @@
 import org.jacinthwharf.process.settings.NodeSettings;
 import org.jacinthwharf.process.settings.NodeSettingsReader;
 import org.jacinthwharf.process.settings.SettingsResult;
-import sun.misc.Signal;
 
 /**
  * Keeps a process running until SIGTERM, and reloads its settings on SIGHUP or when the file
@@ -34,24 +33,43 @@
     }
 
     /**
-     * Blocks until SIGTERM, then runs {@code stop}; the process exits when it returns.
+     * Starts a process and blocks until SIGTERM, then stops it; the JVM exits when that returns.
      *
+     * @param reloadSignal signals since the begin of the process
+     * @throws IOException if the process cannot start
      * @throws InterruptedException if the calling thread is interrupted
      */
     public static void run(
-            Path file, EventLoop loop, Consumer<NodeSettings> onSettings, Runnable stop)
-            throws InterruptedException {
-        ProcessSignals signals = new ProcessSignals(file, onSettings);
-        // Without a handler, SIGHUP terminates the JVM.
-        Signal.handle(new Signal("HUP"), s -> loop.execute(signals::reload));
-        loop.scheduleRepeatedly(FILE_CHECK_INTERVAL, signals::reloadIfChanged);
-        ShutdownSignal.awaitThenRun(
+            Path file,
+            EventLoop loop,
+            ReloadSignal reloadSignal,
+            StartStep start,
+            Consumer<NodeSettings> onSettings,
+            Runnable stop)
+            throws IOException, InterruptedException {
+        ShutdownSignal.startAndAwait(
                 () -> {
-                    stop.run();
-                    LogOutput.flushInstalled();
+                    start.run();
+                    ProcessSignals signals = new ProcessSignals(file, onSettings);
+                    reloadSignal.setReload(() -> loop.execute(signals::reload));
+                    loop.scheduleRepeatedly(FILE_CHECK_INTERVAL, signals::reloadIfChanged);
+                    return () -> {
+                        stop.run();
+                        LogOutput.flushInstalled();
+                    };
                 });
     }
 
+    /** Opens the ports of a process and starts serving. */
+    public interface StartStep {
+        /**
+         * Runs the step.
+         *
+         * @throws IOException if a port cannot be opened
+         */
+        void run() throws IOException;
+    }
+
     private FileTime readLastModified() {
         try {
             return Files.getLastModifiedTime(mFile);
--- a/src/main/java/org/jacinthwharf/cli/RouterCommand.java
+++ b/src/main/java/org/jacinthwharf/cli/RouterCommand.java
@@ -35,8 +35,11 @@
         RouterSettings settings = ((Valid<RouterSettings>) result).settings();
         ThreadEventLoop loop = ThreadEventLoop.haltingProcess("decisions");
         RouterProcess process = new RouterProcess(settings, loop, new FleetMetrics());
-        process.start();
-        ShutdownSignal.awaitThenRun(process::stop);
+        ShutdownSignal.startAndAwait(
+                () -> {
+                    process.start();
+                    return process::stop;
+                });
         loop.close();
         return 0;
     }
