Test answers whose server stops within their head

Reported by another operator: a server stopped within the head of its answer and closed; clients got a 200 with an empty or short body. It does not happen here: a head without its end is a broken attempt, in the gateway (ServerConnection rejects what the decoder marks as failed) and in the router (Jetty).

Not told apart: an answer without length that is closed right after its whole head, which the protocol allows.

--- a/src/test/java/org/jacinthwharf/process/router/AnswerEndsWithConnectionTest.java
+++ b/src/test/java/org/jacinthwharf/process/router/AnswerEndsWithConnectionTest.java
@@ -88,4 +88,19 @@
                     .isInstanceOf(AttemptEvent.StreamTruncated.class);
         }
     }
+
+    // Guards against a server that stops within the head of its answer: a success without a body.
+    @Test
+    void answerThatStopsWithinItsHeadIsNotWhole() throws Exception {
+        for (String framing : new String[] {"Content-Length: 0\r\n", "", "Content-Length: 5\r\n"}) {
+            String head = HEAD + framing + "\r\n";
+            for (int cut = 1; cut < head.length(); cut++) {
+                String sent = head.substring(0, head.length() - cut);
+                for (Finish finish : new Finish[] {Finish.CLOSE, Finish.RESET}) {
+                    assertThat(endOf(false, sent, finish).event())
+                            .isInstanceOf(AttemptEvent.ConnectionClosed.class);
+                }
+            }
+        }
+    }
 }
