Count the idle timeout of callers from the last bytes of a request

A request whose body was still arriving was cut off without an answer if its connection had been idle for most of the idle timeout before: the timeout counted from the last answer.

Cause: CallerRequestHandler.closeIdle looked at the last answer only, unlike the planned stop and the limit of connections, which leave out connections on which a body arrives. Found by reading, in the search for requests that are lost.

Change: while a body arrives, a connection is idle since its last bytes. A body that has stopped arriving is still given up after the timeout.

--- a/src/main/java/org/jacinthwharf/connection/RequestAssembler.java
+++ b/src/main/java/org/jacinthwharf/connection/RequestAssembler.java
@@ -187,7 +187,8 @@
         return mDiscarding || (mBody != null && mBody.readableBytes() > BufferBudget.SMALL_BYTES);
     }
 
-    long lastProgressNanos() {
+    /** Returns when the last bytes of the request that is arriving came. */
+    public long lastProgressNanos() {
         return mLastProgressNanos;
     }
 
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jacinthwharf.connection.RefusedUpload;
@@ -236,15 +237,25 @@
         mChannel.eventLoop().execute(this::handleNext);
     }
 
-    /** Returns since when the connection is idle, or {@code Long.MAX_VALUE} if it is not. */
+    /**
+     * Returns since when nothing has happened on the connection, or {@code Long.MAX_VALUE} if a
+     * request is in flight. While a body arrives, that is since its last bytes.
+     */
     long idleSinceNanos() {
-        return mBusy || !mPipelined.isEmpty() ? Long.MAX_VALUE : mIdleSinceNanos;
+        if (mBusy || !mPipelined.isEmpty()) {
+            return Long.MAX_VALUE;
+        }
+        return receiving().map(RequestAssembler::lastProgressNanos).orElse(mIdleSinceNanos);
     }
 
     /** Returns whether a part of a request has arrived whose rest is due. */
     boolean isReceiving() {
-        RequestAssembler assembler = mChannel.pipeline().get(RequestAssembler.class);
-        return assembler != null && assembler.isReceiving();
+        return receiving().isPresent();
+    }
+
+    private Optional<RequestAssembler> receiving() {
+        return Optional.ofNullable(mChannel.pipeline().get(RequestAssembler.class))
+                .filter(RequestAssembler::isReceiving);
     }
 
     /** Closes an idle connection. */
