--- a/src/test/java/org/jacinthwharf/process/membership/ServerRecordCheckTest.java
+++ b/src/test/java/org/jacinthwharf/process/membership/ServerRecordCheckTest.java
@@ -33,7 +33,7 @@
 
     // Guards against services of a valid configuration that can never have a server.
     @Test
-    void anyServiceThatAConfigurationMayNameCanHaveServers() {
+    void anyServiceOfValidConfigurationsCanHaveServers() {
         String longest = "s".repeat(RoutingTableCheck.MAX_NAME_LENGTH);
         for (String name : List.of("a\tb", "a\r\nb", "\u0000", " ", "\u00e9", longest)) {
             RoutingTable table =
