Keep the callers' port open until the end of a planned stop

In a planned stop, requests on connections that waited to be accepted were lost: 2.6 s after SIGTERM the port was closed, which resets such connections. A caller whose gateway's event loop was busy for a while got a reset long after it had sent its request. A request whose body was still arriving was cut off too, if no other call was open, since the process ended then.

Ruled out: a longer time before the port is closed, since a busy loop may be busy at any time.

Change: the port is closed at the end, after a pause in which the loop accepts what waits; requests that come after 2.6 s are refused as before (not run). Bodies that arrive keep the stop open, up to its grace.

Test: PlannedStopTest.requestsOnConnectionsThatWaitForABusyLoopAreAnswered (reset before) and requestThatArrivesSlowlyIsAnswered (the stop had ended before).

--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -254,19 +254,10 @@
         LOGGER.atInfo().log("event=gateway_stopping vm=%s", mSettings.vmId());
         mDraining = true;
         stop.run(
-                () ->
-                        CompletableFuture.supplyAsync(
-                                        () -> {
-                                            closeIdleCallers();
-                                            return mCalls.size();
-                                        },
-                                        mLoop)
-                                .join(),
-                () -> {
-                    mRefusing = true;
-                    mListener.close();
-                },
-                () -> CompletableFuture.runAsync(this::endCalls, mLoop).join());
+                () -> mRefusing = true,
+                () -> CompletableFuture.supplyAsync(this::closeIdleCallers, mLoop).join(),
+                () -> CompletableFuture.runAsync(this::endCalls, mLoop).join(),
+                mListener::close);
         mReadyEndpoint.close();
         mLinks.close();
         LOGGER.atInfo().log("event=gateway_stopped vm=%s", mSettings.vmId());
@@ -276,12 +267,19 @@
         ImmutableList.copyOf(mCalls).forEach(ForwardedCall::onStop);
     }
 
-    private void closeIdleCallers() {
-        long now = mLoop.nowNanos();
-        mCallers.all().stream()
-                .filter(c -> !c.isReceiving())
-                .filter(c -> c.idleSinceNanos() < now - GatewayStop.MIN_IDLE_NANOS)
-                .forEach(CallerConnection::close);
+    /** Returns how many calls are open and how many requests are arriving. */
+    private int closeIdleCallers() {
+        long oldest = mLoop.nowNanos() - GatewayStop.MIN_IDLE_NANOS;
+        int arriving = 0;
+        for (CallerConnection c : mCallers.all()) {
+            boolean idle = c.idleSinceNanos() < oldest;
+            if (!c.isReceiving() && idle) {
+                c.close();
+            } else if (c.isReceiving() && !idle) {
+                arriving++;
+            }
+        }
+        return mCalls.size() + arriving;
     }
 
     // --- Periodic tasks -------------------------------------------------------------------------
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayStop.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayStop.java
@@ -43,21 +43,28 @@
     /**
      * Waits until the load balancer has stopped sending, then until the open calls have ended.
      *
-     * @param openCalls closes idle connections and returns the number of open calls
-     * @param closeListener stops accepting connections and requests
+     * <p>The listener stays open until the end, since closing it resets the connections that wait
+     * to be accepted, whose callers may have sent a request long before.
+     *
+     * @param refuseNew makes all further requests be refused
+     * @param openCalls closes idle connections and returns the number of open calls and of requests
+     *     that are arriving
      * @param endCalls ends the calls that are open at the end of the grace time
+     * @param closeListener stops accepting connections
      */
-    void run(IntSupplier openCalls, Runnable closeListener, Runnable endCalls) {
+    void run(Runnable refuseNew, IntSupplier openCalls, Runnable endCalls, Runnable closeListener) {
         sleep(Math.min(LOAD_BALANCER_DRAIN_MILLIS, mGraceMillis / 2));
-        closeListener.run();
+        refuseNew.run();
         int open = openCalls.getAsInt();
         while (open > 0 && System.nanoTime() < mEndNanos) {
             sleep(POLL_MILLIS);
             open = openCalls.getAsInt();
         }
         endCalls.run();
-        // Leaves time to flush the last answers and to close idle connections.
-        sleep(2 * POLL_MILLIS);
+        // Leaves time to accept and refuse what waited for a busy event loop, and to flush answers.
+        sleep(POLL_MILLIS);
+        closeListener.run();
+        sleep(POLL_MILLIS);
         LOGGER.atInfo().log("event=calls_finished open=%d", open);
     }
 
