Do not cut answers whose servers go on without announcements

Streams and other requests that may be repeated were cut off though their servers were answering them: when the announcements of a server did not arrive for 3.5 s, its requests were taken from it; those that could not be repeated (attempts or retry budget used up, no other server) ended with a cut or a 502.

Ruled out: a longer limit for the silence of servers. It also decides where new requests go.

Change: a request leaves a silent server only if that has sent nothing of the answer for a second either, another server is available and the limits allow a repeat; otherwise the attempt goes on.

--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -49,6 +49,12 @@
     /** With less time remaining, no server can answer within the deadline. */
     private static final long MIN_REMAINING_MILLIS = 5;
 
+    /**
+     * A server that has sent a part of the answer more recently than this runs, whether it
+     * announces itself or not.
+     */
+    private static final long ANSWERING_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** Short, since another gateway can accept the request at once. */
     private static final long DRAINING_RETRY_MILLIS = 50;
 
@@ -94,6 +100,10 @@
     private boolean mAnswered;
     private boolean mReleased;
     private long mSentNanos;
+
+    /** When the server of the current attempt last sent something, or the attempt began. */
+    private long mHeardNanos;
+
     private long mFirstByteNanos;
     private String mCause = "";
 
@@ -262,6 +272,7 @@
         mAnswerBegun = false;
         mRelaysEvents = false;
         mSentNanos = now;
+        mHeardNanos = now;
         mAnswer = null;
         FullHttpRequest copy = newServerRequest(placement, remainingMillis);
         mPool = mContext.onAttemptStart(placement.server(), mDispatch);
@@ -312,6 +323,7 @@
     }
 
     private boolean acceptHead(HttpResponse head, boolean firstOnConnection) {
+        mHeardNanos = now();
         HeaderCodec.AnswerHeaders answerHeaders =
                 mContext.headerCodec().parseAnswerHeaders(head.headers());
         if (answerHeaders
@@ -366,6 +378,7 @@
     }
 
     private void acceptBody(ByteBuf data) {
+        mHeardNanos = now();
         mContext.activity().onAnswerBytes(data.readableBytes());
         if (mEnded || mAnswer == null) {
             return;
@@ -599,10 +612,8 @@
     }
 
     private void onServerError(int status) {
-        mFailedAttempts++;
-        mMayHaveRun = true;
-        releasePlacement(Optional.of(false));
-        if (tryAcquireRetry()) {
+        countFailedAttempt();
+        if (tryAcquireRetry(mFailedAttempts)) {
             retry(RetryReason.BACKEND_ERROR, "status " + status);
         } else if (mStream.isStarted()) {
             abort("status " + status);
@@ -629,11 +640,15 @@
         }
     }
 
-    private void onFailed(RetryReason reason, String cause) {
+    private void countFailedAttempt() {
         mFailedAttempts++;
         mMayHaveRun = true;
         releasePlacement(Optional.of(false));
-        if (tryAcquireRetry()) {
+    }
+
+    private void onFailed(RetryReason reason, String cause) {
+        countFailedAttempt();
+        if (tryAcquireRetry(mFailedAttempts)) {
             retry(reason, cause);
         } else {
             endFailed(cause);
@@ -651,10 +666,10 @@
     }
 
     /** Takes a retry from the budget if the limits of the request allow another attempt. */
-    private boolean tryAcquireRetry() {
+    private boolean tryAcquireRetry(int failedAttempts) {
         return isSafeToRerun()
                 && mStream.isResumable()
-                && mFailedAttempts < mRoute.getAttempts()
+                && failedAttempts < mRoute.getAttempts()
                 && mDeadlineNanos - now() > TimeUnit.MILLISECONDS.toNanos(MIN_REMAINING_MILLIS)
                 && mContext.tryRetry(mDispatch.service());
     }
@@ -747,8 +762,7 @@
     /**
      * Checks the deadline, and retries a request that may run again if its server is silent.
      *
-     * @param serverSilent whether the server has stopped announcing itself; the connection is not
-     *     examined
+     * @param serverSilent whether the server has stopped announcing itself
      */
     void tick(long nowNanos, boolean serverSilent) {
         if (mEnded) {
@@ -757,11 +771,25 @@
         if (nowNanos >= mDeadlineNanos) {
             step(() -> giveUp(RefusalReason.DEADLINE_PASSED, 0));
         } else if (serverSilent && mExchange != null && isSafeToRerun()) {
-            step(
-                    () -> {
-                        mExchange.cancel();
-                        onFailed(RetryReason.CONNECTION_SILENT, "the server is not heard from");
-                    });
+            step(() -> leaveSilentServer(nowNanos));
+        }
+    }
+
+    /**
+     * Repeats the request at another server if that is possible. Otherwise the attempt goes on,
+     * since a server whose announcements do not arrive may still answer.
+     */
+    private void leaveSilentServer(long nowNanos) {
+        Set<String> excluded = new HashSet<>(mTriedServers);
+        excluded.add(mPlacement.server().id());
+        boolean leaves =
+                nowNanos - mHeardNanos > ANSWERING_NANOS
+                        && mContext.hasAvailableServer(mDispatch.service(), excluded)
+                        && tryAcquireRetry(mFailedAttempts + 1);
+        if (leaves) {
+            mExchange.cancel();
+            countFailedAttempt();
+            retry(RetryReason.CONNECTION_SILENT, "the server is not heard from");
         }
     }
 
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -38,6 +38,9 @@
     /** Removes the request of a call from the waiting requests. */
     void cancelWaiting(ForwardedCall call);
 
+    /** Returns whether a server of a service can be used, other than the excluded ones. */
+    boolean hasAvailableServer(String service, Set<String> excluded);
+
     /** Takes one retry from the retry budget of a service; returns false if it is empty. */
     boolean tryRetry(String service);
 
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -481,6 +481,13 @@
         mDispatcher.cancel(call, call.dispatch().service());
     }
 
+    @Override
+    public boolean hasAvailableServer(String service, Set<String> excluded) {
+        long now = mLoop.nowNanos();
+        return mServerTable.ofService(service).stream()
+                .anyMatch(s -> !excluded.contains(s.id()) && mHealth.isAvailable(s, now));
+    }
+
     @Override
     public boolean tryRetry(String service) {
         return mRetryBudget.tryRetry(service, mLoop.nowNanos());
--- a/src/main/java/org/jacinthwharf/request/dispatch/DispatchHealth.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchHealth.java
@@ -54,7 +54,7 @@
     }
 
     /** Returns whether the server is serving, has announced itself recently and is not paused. */
-    boolean isAvailable(BackendServer s, long nowNanos) {
+    public boolean isAvailable(BackendServer s, long nowNanos) {
         return isServing(s) && !isSilent(s, nowNanos) && !s.isPaused(nowNanos);
     }
 
