--- a/src/main/java/org/jacinthwharf/process/gateway/ExchangeListener.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ExchangeListener.java
@@ -19,10 +19,10 @@
      * Called with the status line and headers of an answer; returns false if it belongs to another
      * request.
      *
-     * @param firstOnConnection whether this is the first request on the connection, so that the
-     *     answer cannot belong to an earlier one
+     * @param use the request in flight on its connection; an answer on a connection that has
+     *     carried others may belong to one of them
      */
-    boolean onHead(HttpResponse head, boolean firstOnConnection);
+    boolean onHead(HttpResponse head, ConnectionUse use);
 
     /**
      * Called with body data; the buffer is valid only until this method returns, unless retained.
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.process.metrics.RetryReason;
 import org.jacinthwharf.request.dispatch.BackendServer;
@@ -79,6 +80,9 @@
 
     private ServerPool.Exchange mExchange;
 
+    /** The exchange that the last answer came in; empty before the first one. */
+    private Optional<ConnectionUse> mUse = Optional.empty();
+
     /** Answer to the current attempt; null before its head. */
     private ServerAnswer mAnswer;
 
@@ -278,7 +282,9 @@
         mPool = mContext.onAttemptStart(placement.server(), mDispatch);
         // An earlier answer to this request must not be taken for one to this attempt.
         boolean newConnection = mTriedServers.contains(placement.server().id());
-        mExchange = mContext.pool().send(placement.server().address(), copy, newConnection, this);
+        RequestId id = RequestId.of(mCallerHeaders.requestId());
+        mExchange =
+                mContext.pool().send(placement.server().address(), copy, id, newConnection, this);
     }
 
     /** Gives back a placement that was not used. */
@@ -316,13 +322,13 @@
     // --- The server's answer --------------------------------------------------------------------
 
     @Override
-    public boolean onHead(HttpResponse head, boolean firstOnConnection) {
+    public boolean onHead(HttpResponse head, ConnectionUse use) {
         boolean[] own = {true};
-        step(() -> own[0] = acceptHead(head, firstOnConnection));
+        step(() -> own[0] = acceptHead(head, use));
         return own[0];
     }
 
-    private boolean acceptHead(HttpResponse head, boolean firstOnConnection) {
+    private boolean acceptHead(HttpResponse head, ConnectionUse use) {
         mHeardNanos = now();
         HeaderCodec.AnswerHeaders answerHeaders =
                 mContext.headerCodec().parseAnswerHeaders(head.headers());
@@ -331,17 +337,19 @@
                 .filter(id -> !id.equals(mCallerHeaders.requestId()))
                 .isPresent()) {
             LOGGER.atInfo().log(
-                    "event=answer_crossed request=%s server=%s answer_of=%s",
+                    "event=answer_crossed request=%s server=%s connection=%s answer_of=%s",
                     LogText.of(mCallerHeaders.requestId()),
                     mPlacement.server(),
+                    use,
                     LogText.of(answerHeaders.requestId().get()));
             return false;
         }
-        if (answerHeaders.requestId().isEmpty() && !firstOnConnection && !mEnded) {
+        if (answerHeaders.requestId().isEmpty() && !use.isFirst() && !mEnded) {
             // It may be a copy of the answer to an earlier request on the connection.
             failAttempt(RetryReason.CROSSED_ANSWER, "an answer without an id on a used connection");
             return true;
         }
+        mUse = Optional.of(use);
         mAnswer = new ServerAnswer(head, answerHeaders, mContext.bufferBudget());
         mContext.onAnswerHead(mPlacement.server(), mAnswer);
         if (mFirstByteNanos == 0) {
@@ -891,7 +899,7 @@
         LOGGER.atInfo().log(
                 "event=call_ended request=%s route=%s customer=%s service=%s outcome=%s"
                         + " status=%d prompt_tokens=%d lead_tokens=%.0f runs=%d turned_down=%d"
-                        + " wait_ms=%d first_ms=%d total_ms=%d servers=%s cause='%s'",
+                        + " wait_ms=%d first_ms=%d total_ms=%d servers=%s connection=%s cause='%s'",
                 LogText.of(mCallerHeaders.requestId()),
                 LogText.of(mRoute.getName()),
                 LogText.of(mCustomer.orElse("-")),
@@ -906,6 +914,7 @@
                 millisSinceArrival(mFirstByteNanos),
                 millisSinceArrival(now),
                 mPlacement == null ? mTriedServers : mPlacement.server(),
+                mUse.map(ConnectionUse::toString).orElse("-"),
                 mCause);
         mAnswered = true;
         writeAnswer.run();
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -12,7 +12,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import org.jacinthwharf.connection.ServerAddress;
+import org.jacinthwharf.id.RequestId;
 
 /**
  * One connection to a backend server, with at most one request in flight.
@@ -34,6 +36,7 @@
 
     private final ServerPool mPool;
     private final ServerAddress mAddress;
+    private final CarriedIds mCarried = new CarriedIds();
     private long mFramingBytes;
     private long mRequests;
     private Channel mChannel;
@@ -63,8 +66,17 @@
     }
 
     /** Sends a request; the connection must be idle. */
-    void send(FullHttpRequest request, ExchangeListener listener) {
+    void send(FullHttpRequest request, RequestId id, ExchangeListener listener) {
         mRequests++;
+        if (hasCarried(id)) {
+            mPool.countEvent("request_id_repeated");
+            LOGGER.atInfo().log(
+                    "event=request_id_repeated request=%s server=%s connection=%s",
+                    id, mAddress, use());
+        }
+        if (!mCarried.isFull()) {
+            mCarried.add(id);
+        }
         mBusy = true;
         mAnswered = false;
         mHeadSeen = false;
@@ -81,6 +93,16 @@
                         });
     }
 
+    /** Returns whether a request with this id may have been sent on the connection. */
+    boolean hasCarried(RequestId id) {
+        return mCarried.contains(id);
+    }
+
+    private ConnectionUse use() {
+        int port = mChannel.localAddress() instanceof InetSocketAddress local ? local.getPort() : 0;
+        return new ConnectionUse(port, mRequests);
+    }
+
     /** Discards the rest of the answer in flight, so that the connection can be reused. */
     void discardAnswer(ExchangeListener listener) {
         if (mListener == listener) {
@@ -157,7 +179,7 @@
         mHeadSeen = true;
         mFramingBytes = 0;
         updateKeepAlive(head);
-        if (mListener != null && !mListener.onHead(head, mRequests == 1)) {
+        if (mListener != null && !mListener.onHead(head, use())) {
             mPool.countEvent("crossed_answer");
             mDiscarding = true;
             mReusable = false;
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.connection.ServerAddress;
+import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 
@@ -101,15 +102,16 @@
     Exchange send(
             ServerAddress address,
             FullHttpRequest request,
+            RequestId id,
             boolean newConnection,
             ExchangeListener listener) {
         Exchange exchange = new Exchange(listener);
         ServerConnection idle = newConnection ? null : takeIdle(address);
         if (idle != null) {
             exchange.mConnection = idle;
-            idle.send(request, listener);
+            idle.send(request, id, listener);
         } else {
-            connect(address, request, exchange);
+            connect(address, request, id, exchange);
         }
         return exchange;
     }
@@ -127,7 +129,8 @@
         return null;
     }
 
-    private void connect(ServerAddress address, FullHttpRequest request, Exchange exchange) {
+    private void connect(
+            ServerAddress address, FullHttpRequest request, RequestId id, Exchange exchange) {
         mMetrics.countEvent("server_connection_opened");
         ServerConnection connection = new ServerConnection(this, address, DEFAULT_IDLE_NANOS);
         ChannelFuture connecting =
@@ -157,7 +160,7 @@
                         connecting.channel().close();
                     } else if (f.isSuccess()) {
                         exchange.mConnection = connection;
-                        connection.send(request, exchange.mListener);
+                        connection.send(request, id, exchange.mListener);
                     } else {
                         request.release();
                         exchange.mListener.onEnd(
--- a/src/test/java/org/jacinthwharf/process/gateway/EndlessAnswerTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/EndlessAnswerTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.connection.ServerAddress;
+import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.process.EndlessServer;
 import org.jacinthwharf.process.loop.NettyEventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
@@ -36,7 +37,7 @@
 
     private final class Listener implements ExchangeListener {
         @Override
-        public boolean onHead(HttpResponse head, boolean firstOnConnection) {
+        public boolean onHead(HttpResponse head, ConnectionUse use) {
             return !head.headers().contains("X-Crossed");
         }
 
@@ -61,6 +62,7 @@
                                     ServerAddress.parse(server.address()).orElseThrow(),
                                     new DefaultFullHttpRequest(
                                             HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                                    RequestId.of("1"),
                                     false,
                                     new Listener()));
             assertWithMessage("disconnected").that(server.awaitDisconnect(5)).isTrue();
