Send no id twice on one connection to a server

Cause: the request id is all that ties an answer to a request on a kept connection, and callers use an id again when they repeat a request. A server that answers twice writes its second answer where the next answer on that connection is due; if the connection then carries the same id, the gateway takes it.

Change: a connection remembers which ids it has carried (32 bits of each, 512 at most, then it is closed after its answer), and an idle one that has carried an id is not taken for it. This holds for all sendings, of one call, of several calls and of several callers, so the flag for repeats within a call goes. If all idle connections have carried the id, the oldest one is closed and a new one is opened in its place, 50 a second for each server at most; beyond that the request is refused as not run (request_id_repeated). So an id that is sent over and over neither keeps connections open nor opens them without limit. A match of 32 bits that is wrong costs a connection, no more.

Weighed and not taken: an id of the gateway's own for each attempt (the servers must see the caller's); seals of earlier answers (a second answer may have another seal, or none); closing each connection after a failure (a second answer may follow a success); one table of ids for the gateway (all connections older than the id's last sending would be useless for it).

--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -59,6 +59,9 @@
     /** Short, since another gateway can accept the request at once. */
     private static final long DRAINING_RETRY_MILLIS = 50;
 
+    /** Time in which a few connections may be replaced. */
+    private static final long REPEATED_ID_RETRY_MILLIS = 100;
+
     /** The server knows the deadline; this covers the network. */
     private static final Duration FINISH_TIME_AFTER_DEADLINE = Duration.ofSeconds(1);
 
@@ -266,6 +269,12 @@
             endWithError(RefusalReason.DRAINING, DRAINING_RETRY_MILLIS);
             return;
         }
+        RequestId id = RequestId.of(mCallerHeaders.requestId());
+        if (!mContext.pool().canSend(placement.server().address(), id)) {
+            returnPlacement(placement);
+            endWithError(RefusalReason.REQUEST_ID_REPEATED, REPEATED_ID_RETRY_MILLIS);
+            return;
+        }
         CrashGuard.Admission admission = mContext.crashGuard().admit(mSubjects);
         if (admission == CrashGuard.Admission.BLOCKED) {
             returnPlacement(placement);
@@ -280,11 +289,7 @@
         mAnswer = null;
         FullHttpRequest copy = newServerRequest(placement, remainingMillis);
         mPool = mContext.onAttemptStart(placement.server(), mDispatch);
-        // An earlier answer to this request must not be taken for one to this attempt.
-        boolean newConnection = mTriedServers.contains(placement.server().id());
-        RequestId id = RequestId.of(mCallerHeaders.requestId());
-        mExchange =
-                mContext.pool().send(placement.server().address(), copy, id, newConnection, this);
+        mExchange = mContext.pool().send(placement.server().address(), copy, id, this);
     }
 
     /** Gives back a placement that was not used. */
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -174,7 +174,7 @@
                         loop,
                         mActivity);
         mServerStatements = new ServerStatements(mLoadExchange, loop);
-        mPool = new ServerPool(loop.group(), loop, metrics);
+        mPool = new ServerPool(loop.group(), loop, metrics, new ReplacementRate());
         mLoadShedder = new LoadShedder(random);
         mCrashCheck = new CrashCheck(loop.group(), loop, metrics);
         mCrashGuard =
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -22,8 +22,8 @@
  * <p>Used on the event loop only. Invariants: data that arrives while no request is in flight, or
  * after the end of its answer, belongs to no request, and the connection is closed; the connection
  * is offered for reuse only after all data that was read together with the end of an answer has
- * been processed; a server that sends {@link #MAX_FRAMING_BYTES} without a head or a part of a body
- * is disconnected.
+ * been processed; it carries no id twice, and none after {@link CarriedIds#MAX_IDS}; a server that
+ * sends {@link #MAX_FRAMING_BYTES} without a head or a part of a body is disconnected.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -65,18 +65,10 @@
         mChannel = channel;
     }
 
-    /** Sends a request; the connection must be idle. */
+    /** Sends a request; the connection must be idle and must not have carried the id. */
     void send(FullHttpRequest request, RequestId id, ExchangeListener listener) {
         mRequests++;
-        if (hasCarried(id)) {
-            mPool.countEvent("request_id_repeated");
-            LOGGER.atInfo().log(
-                    "event=request_id_repeated request=%s server=%s connection=%s",
-                    id, mAddress, use());
-        }
-        if (!mCarried.isFull()) {
-            mCarried.add(id);
-        }
+        mCarried.add(id);
         mBusy = true;
         mAnswered = false;
         mHeadSeen = false;
@@ -230,7 +222,7 @@
             mBusy = false;
             // A server that answers before it has received the whole request may never read the
             // rest.
-            if (mReusable && mRequestWritten && mChannel.isActive()) {
+            if (mReusable && mRequestWritten && !mCarried.isFull() && mChannel.isActive()) {
                 mIdleSinceNanos = System.nanoTime();
                 mChannel.config().setAutoRead(true);
                 mPool.addIdle(this);
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -1,5 +1,6 @@
 package org.jacinthwharf.process.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.common.primitives.Longs;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -15,7 +16,9 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.connection.ServerAddress;
 import org.jacinthwharf.id.RequestId;
@@ -25,10 +28,14 @@
 /**
  * The pool of connections from a gateway to all backend servers.
  *
- * <p>Used on the event loop only. Invariant: a connection is not reused before the answer to its
- * previous request has ended.
+ * <p>Used on the event loop only. Invariants: a connection is not reused before the answer to its
+ * previous request has ended, nor for an id that it has carried, since only the id tells an answer
+ * from a late one to an earlier request; an id that comes again opens a connection only in place of
+ * an idle one, at a limited rate.
  */
 final class ServerPool {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** Connecting to a VM of the same region takes a few milliseconds if it succeeds at all. */
     private static final int CONNECT_TIMEOUT_MS = 700;
 
@@ -54,12 +61,18 @@
     private final EventLoopGroup mGroup;
     private final EventLoop mLoop;
     private final FleetMetrics mMetrics;
+    private final ReplacementRate mReplacements;
     private final Map<ServerAddress, ArrayDeque<ServerConnection>> mIdle = new HashMap<>();
 
-    ServerPool(EventLoopGroup group, EventLoop loop, FleetMetrics metrics) {
+    ServerPool(
+            EventLoopGroup group,
+            EventLoop loop,
+            FleetMetrics metrics,
+            ReplacementRate replacements) {
         mGroup = group;
         mLoop = loop;
         mMetrics = metrics;
+        mReplacements = replacements;
     }
 
     /** One request in flight. Used on the event loop only. */
@@ -95,38 +108,65 @@
     }
 
     /**
-     * Sends a request to a server and releases its buffer.
-     *
-     * @param newConnection whether to open a new connection even if an idle one is available
+     * Returns whether a request with this id can be sent now: not if all idle connections have
+     * carried the id, and too many were replaced for that reason.
      */
+    boolean canSend(ServerAddress address, RequestId id) {
+        return findIdle(address, id).isPresent()
+                || idle(address).isEmpty()
+                || mReplacements.allows(address, mLoop.nowNanos());
+    }
+
+    /** Sends a request to a server and releases its buffer. */
     Exchange send(
             ServerAddress address,
             FullHttpRequest request,
             RequestId id,
-            boolean newConnection,
             ExchangeListener listener) {
         Exchange exchange = new Exchange(listener);
-        ServerConnection idle = newConnection ? null : takeIdle(address);
-        if (idle != null) {
-            exchange.mConnection = idle;
-            idle.send(request, id, listener);
+        Optional<ServerConnection> idle = findIdle(address, id);
+        if (idle.isPresent()) {
+            remove(idle.get());
+            exchange.mConnection = idle.get();
+            idle.get().send(request, id, listener);
         } else {
+            closeOldestIdle(address, id);
             connect(address, request, id, exchange);
         }
         return exchange;
     }
 
-    private ServerConnection takeIdle(ServerAddress address) {
-        ArrayDeque<ServerConnection> idle = mIdle.get(address);
+    /** Returns the newest idle connection that has not carried an id; closes expired ones. */
+    private Optional<ServerConnection> findIdle(ServerAddress address, RequestId id) {
         long now = mLoop.nowNanos();
-        while (idle != null && !idle.isEmpty()) {
-            ServerConnection c = idle.removeLast();
-            if (c.isUsable(now)) {
-                return c;
+        Iterator<ServerConnection> newestFirst = idle(address).descendingIterator();
+        while (newestFirst.hasNext()) {
+            ServerConnection c = newestFirst.next();
+            if (!c.isUsable(now)) {
+                newestFirst.remove();
+                c.close();
+            } else if (!c.hasCarried(id)) {
+                return Optional.of(c);
             }
-            c.close();
         }
-        return null;
+        return Optional.empty();
+    }
+
+    private ArrayDeque<ServerConnection> idle(ServerAddress address) {
+        return mIdle.getOrDefault(address, new ArrayDeque<>());
+    }
+
+    /** Makes room for a connection that is opened since all idle ones have carried an id. */
+    private void closeOldestIdle(ServerAddress address, RequestId id) {
+        ServerConnection oldest = idle(address).peekFirst();
+        if (oldest != null) {
+            remove(oldest);
+            oldest.close();
+            mMetrics.countEvent("server_connection_replaced");
+            LOGGER.atInfo().log(
+                    "event=server_connection_replaced request=%s server=%s", id, address);
+            mReplacements.onReplaced(address, mLoop.nowNanos());
+        }
     }
 
     private void connect(
@@ -199,6 +239,7 @@
                 .filter(c -> !c.isUsable(now))
                 .toList()
                 .forEach(ServerConnection::close);
+        mReplacements.removeExpired(now);
     }
 
     /**
--- a/src/main/java/org/jacinthwharf/process/metrics/RefusalReason.java
+++ b/src/main/java/org/jacinthwharf/process/metrics/RefusalReason.java
@@ -34,6 +34,7 @@
     OUTCOME_UNKNOWN(504),
     // Backend servers.
     BACKEND_REFUSED(503),
+    REQUEST_ID_REPEATED(503),
     BACKEND_FAILED(502),
     PROMPT_BLOCKED(503),
     REQUEST_BLOCKED(503),
--- a/src/test/java/org/jacinthwharf/process/gateway/EndlessAnswerTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/EndlessAnswerTest.java
@@ -55,7 +55,8 @@
 
     private void assertDisconnected(String start, String repeated) throws Exception {
         try (EndlessServer server = new EndlessServer(start, repeated)) {
-            ServerPool pool = new ServerPool(mLoop.group(), mLoop, new FleetMetrics());
+            ServerPool pool =
+                    new ServerPool(mLoop.group(), mLoop, new FleetMetrics(), new ReplacementRate());
             mLoop.execute(
                     () ->
                             pool.send(
@@ -63,7 +64,6 @@
                                     new DefaultFullHttpRequest(
                                             HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
                                     RequestId.of("1"),
-                                    false,
                                     new Listener()));
             assertWithMessage("disconnected").that(server.awaitDisconnect(5)).isTrue();
             assertThat(mEnd.get(1, TimeUnit.SECONDS)).startsWith("BROKEN");
