Notice settings that change while a process starts, also without a signal

What operators would see: a settings file that changes between its first reading and the end of the start (1 to 4 s on a small VM), without a signal, is not read until it changes again: its time was first looked at after the start.

Traced: the failing ones were started with nohup, so SIGHUP was ignored, which a JVM keeps; then nothing notices the change. Ruled out: load (3 of 3 passed at load 20), a process that does not start (its log is whole).

Change: the file is watched from before its first reading. Test: settingsThatChangeDuringTheStartWithoutSignalAreReloadedAfterIt, red before, green now; with SIGHUP ignored both cases are green.

--- a/src/main/java/org/jacinthwharf/cli/ProcessSignals.java
+++ b/src/main/java/org/jacinthwharf/cli/ProcessSignals.java
@@ -16,43 +16,46 @@
  * Keeps a process running until SIGTERM, and reloads its settings on SIGHUP or when the file
  * changes.
  *
- * <p>Thread-safe. Invariant: invalid settings are logged and the current ones stay in force.
+ * <p>Thread-safe. Invariants: invalid settings are logged and the current ones stay in force; a
+ * change of the file after {@link #watch} is noticed, also during the start of the process.
  */
 public final class ProcessSignals {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration FILE_CHECK_INTERVAL = Duration.ofSeconds(2);
 
     private final Path mFile;
-    private final Consumer<NodeSettings> mOnSettings;
+    private final ReloadSignal mReloadSignal;
     private FileTime mLastModified;
 
-    private ProcessSignals(Path file, Consumer<NodeSettings> onSettings) {
+    private ProcessSignals(Path file, ReloadSignal reloadSignal) {
         mFile = file;
-        mOnSettings = onSettings;
+        mReloadSignal = reloadSignal;
         mLastModified = readLastModified();
     }
 
     /**
-     * Starts a process and blocks until SIGTERM, then stops it; the JVM exits when that returns.
+     * Watches the settings file from now on; to be called before the settings are read.
      *
      * @param reloadSignal signals since the begin of the process
+     */
+    public static ProcessSignals watch(Path file, ReloadSignal reloadSignal) {
+        return new ProcessSignals(file, reloadSignal);
+    }
+
+    /**
+     * Starts a process and blocks until SIGTERM, then stops it; the JVM exits when that returns.
+     *
      * @throws IOException if the process cannot start
      * @throws InterruptedException if the calling thread is interrupted
      */
-    public static void run(
-            Path file,
-            EventLoop loop,
-            ReloadSignal reloadSignal,
-            StartStep start,
-            Consumer<NodeSettings> onSettings,
-            Runnable stop)
+    public void run(
+            EventLoop loop, StartStep start, Consumer<NodeSettings> onSettings, Runnable stop)
             throws IOException, InterruptedException {
         ShutdownSignal.startAndAwait(
                 () -> {
                     start.run();
-                    ProcessSignals signals = new ProcessSignals(file, onSettings);
-                    reloadSignal.setReload(() -> loop.execute(signals::reload));
-                    loop.scheduleRepeatedly(FILE_CHECK_INTERVAL, signals::reloadIfChanged);
+                    mReloadSignal.setReload(() -> loop.execute(() -> reload(onSettings)));
+                    loop.scheduleRepeatedly(FILE_CHECK_INTERVAL, () -> reloadIfChanged(onSettings));
                     return () -> {
                         stop.run();
                         LogOutput.flushInstalled();
@@ -79,18 +82,18 @@
         }
     }
 
-    private void reloadIfChanged() {
+    private void reloadIfChanged(Consumer<NodeSettings> onSettings) {
         FileTime now = readLastModified();
         if (now != null && !now.equals(mLastModified)) {
-            reload();
+            reload(onSettings);
         }
     }
 
-    private void reload() {
+    private void reload(Consumer<NodeSettings> onSettings) {
         mLastModified = readLastModified();
         SettingsResult<NodeSettings> result = new NodeSettingsReader().read(mFile);
         if (result instanceof SettingsResult.Valid<NodeSettings> v) {
-            mOnSettings.accept(v.settings());
+            onSettings.accept(v.settings());
         } else if (result instanceof SettingsResult.Invalid<NodeSettings> i) {
             i.problems()
                     .forEach(p -> LOGGER.atWarning().log("event=settings_kept problem='%s'", p));
