Keep the attempts of a call apart

Cause: the call itself was the listener of all its exchanges, and kept the exchange that ServerPool.send returned. A write fails at once on a connection that its server has just reset; the call then repeats inside send, and the exchange of the repeat is overwritten by the one that has failed. Cancelling had no effect any more, and the bytes of a cancelled attempt were taken for those of the next one.

Change: each attempt is an object of its own, the listener of one exchange, and passes nothing on after it has ended or was cancelled.

--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -81,7 +81,8 @@
     /** The version that the current attempt counts for. */
     private Optional<PoolId> mPool = Optional.empty();
 
-    private ServerPool.Exchange mExchange;
+    /** Null before the first attempt, and while no attempt is under way. */
+    private Attempt mAttempt;
 
     /** The exchange that the last answer came in; empty before the first one. */
     private Optional<ConnectionUse> mUse = Optional.empty();
@@ -161,7 +162,7 @@
     private void onFault(RuntimeException fault) {
         LOGGER.atSevere().withCause(fault).log(
                 "event=call_fault request=%s", LogText.of(mCallerHeaders.requestId()));
-        boolean mayHaveRun = mMayHaveRun || mExchange != null;
+        boolean mayHaveRun = mMayHaveRun || mAttempt != null;
         mEnded = true;
         contain(() -> mContext.metrics().countEvent("call_fault"));
         if (mWaiting) {
@@ -289,7 +290,10 @@
         mAnswer = null;
         FullHttpRequest copy = newServerRequest(placement, remainingMillis);
         mPool = mContext.onAttemptStart(placement.server(), mDispatch);
-        mExchange = mContext.pool().send(placement.server().address(), copy, id, this);
+        Attempt attempt = new Attempt(this);
+        mAttempt = attempt;
+        attempt.send(
+                listener -> mContext.pool().send(placement.server().address(), copy, id, listener));
     }
 
     /** Gives back a placement that was not used. */
@@ -380,7 +384,7 @@
 
     /** Ends the current attempt, since what the server sends is not the answer. */
     private void failAttempt(RetryReason reason, String cause) {
-        mExchange.cancel();
+        mAttempt.cancel();
         mPlacement.server().onFailure(now());
         onFailed(reason, cause);
     }
@@ -433,16 +437,16 @@
     private void flush() {
         if (mStream.isStarted() && !mEnded) {
             mCaller.flush();
-            if (!mCaller.isWritable() && mExchange != null) {
-                mExchange.setReading(false);
+            if (!mCaller.isWritable() && mAttempt != null) {
+                mAttempt.setReading(false);
             }
         }
     }
 
     @Override
     public void onWritabilityChanged(boolean writable) {
-        if (mExchange != null) {
-            mExchange.setReading(writable);
+        if (mAttempt != null) {
+            mAttempt.setReading(writable);
         }
     }
 
@@ -727,7 +731,7 @@
             mWaiting = false;
             mContext.cancelWaiting(this);
             endBlocked();
-        } else if (mExchange != null && !mAnswerBegun && guard.isSuspect(mSubjects)) {
+        } else if (mAttempt != null && !mAnswerBegun && guard.isSuspect(mSubjects)) {
             mMayHaveRun = true;
             cancelExchange();
             endBlocked();
@@ -783,7 +787,7 @@
         }
         if (nowNanos >= mDeadlineNanos) {
             step(() -> giveUp(RefusalReason.DEADLINE_PASSED, 0));
-        } else if (serverSilent && mExchange != null && isSafeToRerun()) {
+        } else if (serverSilent && mAttempt != null && isSafeToRerun()) {
             step(() -> leaveSilentServer(nowNanos));
         }
     }
@@ -800,7 +804,7 @@
                         && mContext.hasAvailableServer(mDispatch.service(), excluded)
                         && tryAcquireRetry(mFailedAttempts + 1);
         if (leaves) {
-            mExchange.cancel();
+            mAttempt.cancel();
             countFailedAttempt();
             retry(RetryReason.CONNECTION_SILENT, "the server is not heard from");
         }
@@ -846,7 +850,7 @@
      * server finish it.
      */
     private void cancelExchangeIfSafe() {
-        if (mExchange == null) {
+        if (mAttempt == null) {
             return;
         }
         if (isStream() || isSafeToRerun()) {
@@ -855,15 +859,15 @@
     }
 
     private void cancelExchange() {
-        if (mExchange != null) {
-            mExchange.cancel();
+        if (mAttempt != null) {
+            mAttempt.cancel();
             releasePlacement(Optional.empty());
         }
     }
 
     /** Limits how long a server may finish an answer that nobody waits for. */
     private void cancelExchangeAfterDeadline() {
-        if (mExchange != null) {
+        if (mAttempt != null) {
             long remaining = Math.max(0, mDeadlineNanos - now());
             Duration delay = Duration.ofNanos(remaining).plus(FINISH_TIME_AFTER_DEADLINE);
             mContext.loop().schedule(delay, () -> step(this::cancelExchange));
@@ -871,7 +875,7 @@
     }
 
     private void releasePlacement(Optional<Boolean> success) {
-        mExchange = null;
+        mAttempt = null;
         if (mPlacement != null) {
             Placement placement = mPlacement;
             mPlacement = null;
@@ -935,7 +939,7 @@
         mContext.onEnd(this);
         releaseBody();
         mStream.dropPartialEvent();
-        if (mExchange != null) {
+        if (mAttempt != null) {
             mSubjects.request(); // The server may crash after the call has ended.
         }
         mRequest.release();
