Choose a version for each call, not for each request id

What operators would see, in the test of the review: 100 of 100 requests of one caller that gives them one id go to a version on trial, which may get 5 in 100; a caller that repeats a failed request with its id gets the bad version again.

Change: each call has an id of its own in the gateway (CallNumbers), which begins with that of the caller; logs still name the caller's.

Test: RepeatedIdVersionTest, 1 of 2 red before (100, at most 5 wanted).

--- a/src/main/java/org/jacinthwharf/process/gateway/CallSubjects.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallSubjects.java
@@ -21,8 +21,8 @@
     private final Supplier<CrashSubject> mRequest;
 
     /** Creates the subjects of a call; its request must be retained while they are asked for. */
-    CallSubjects(FullHttpRequest request, DispatchRequest dispatch) {
-        mRequestId = dispatch.id();
+    CallSubjects(FullHttpRequest request, String requestId, DispatchRequest dispatch) {
+        mRequestId = requestId;
         mSegments =
                 dispatch.prompt().leadingSegmentIds().stream()
                         .map(CrashSubject::segment)
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
@@ -64,7 +64,7 @@
     private final LoadShedder mLoadShedder;
     private final RandomGenerator mRandom;
     private final GatewayProcess mProcess;
-    private long mUnnamed;
+    private final CallNumbers mCallNumbers = new CallNumbers();
 
     CallerRequestHandler(
             GatewayConfiguration configuration,
@@ -165,7 +165,7 @@
         mBudget.onRequest(service, now);
         DispatchRequest dispatch =
                 new DispatchRequest(
-                        dispatchId(callerHeaders),
+                        mCallNumbers.next(callerHeaders.requestId()),
                         holder.map(h -> CustomerId.of(h.getCustomer())).orElse(ANONYMOUS),
                         service,
                         route.getName(),
@@ -189,13 +189,6 @@
                 mProcess);
     }
 
-    /** Returns an id of its own for each request, so that none shares a choice with another. */
-    private String dispatchId(HeaderCodec.CallerHeaders callerHeaders) {
-        return callerHeaders.requestId().isEmpty()
-                ? "unnamed-" + mUnnamed++
-                : callerHeaders.requestId();
-    }
-
     private String chooseService(Route route) {
         if (route.getSharesCount() == 1) {
             return route.getShares(0).getService();
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -134,7 +134,7 @@
         mCaller = caller;
         mRoute = route;
         mDispatch = dispatch;
-        mSubjects = new CallSubjects(request, dispatch);
+        mSubjects = new CallSubjects(request, callerHeaders.requestId(), dispatch);
         mCallerHeaders = callerHeaders;
         mCustomer = customer;
         mDeadlineNanos = deadlineNanos;
--- a/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/DispatchRequest.java
@@ -7,7 +7,7 @@
  *
  * <p>Immutable.
  *
- * @param id request id, for version moves and logs
+ * @param id id that no other request of the gateway has, for version moves and logs
  * @param customer customer that is charged for the request
  * @param service service that runs the request
  * @param route name of the route
