--- a/src/test/java/org/jacinthwharf/process/router/AttemptFixture.java
+++ b/src/test/java/org/jacinthwharf/process/router/AttemptFixture.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.id.ModelId;
@@ -34,14 +35,43 @@
 
     /** Sends the request and returns what receives its answer. */
     AttemptReceiver send(String address, boolean stream) {
-        AttemptId attempt = new AttemptId(ID, 1);
         AnswerMatcher matcher = new AnswerMatcher(ID);
+        return send(address, request(stream), 1, matcher, true, new Sink(mEvent));
+    }
+
+    /** Sends an attempt on a pooled connection, if there is one, and waits for its end. */
+    AttemptEvent sendPooled(
+            String address, CallerRequest request, int attempt, AnswerMatcher matcher)
+            throws Exception {
+        CompletableFuture<AttemptEvent> event = new CompletableFuture<>();
+        send(address, request, attempt, matcher, false, new Sink(event));
+        return event.get(5, TimeUnit.SECONDS);
+    }
+
+    private AttemptReceiver send(
+            String address,
+            CallerRequest request,
+            int number,
+            AnswerMatcher matcher,
+            boolean newConnection,
+            Sink sink) {
+        AttemptId attempt = new AttemptId(request.id(), number);
         matcher.onSend(attempt);
+        StreamAssembler assembler =
+                request.lastEvent()
+                        .map(e -> StreamAssembler.after(e.sequence()))
+                        .orElseGet(StreamAssembler::fromStart);
+        long next = assembler.nextSequence();
         AttemptReceiver receiver =
-                new AttemptReceiver(
-                        attempt, stream, matcher, StreamAssembler.fromStart(), new Sink());
+                new AttemptReceiver(attempt, request.stream(), matcher, assembler, sink);
         new BackendClient(mClient, mLoop, REQUEST_TIMEOUT)
-                .send(address, request(stream), 1, OptionalLong.empty(), true, receiver);
+                .send(
+                        address,
+                        request,
+                        number,
+                        next > 1 ? OptionalLong.of(next) : OptionalLong.empty(),
+                        newConnection,
+                        receiver);
         return receiver;
     }
 
@@ -50,7 +80,13 @@
         return mEvent;
     }
 
-    private final class Sink implements AttemptReceiver.Sink {
+    private static final class Sink implements AttemptReceiver.Sink {
+        private final CompletableFuture<AttemptEvent> mEvent;
+
+        Sink(CompletableFuture<AttemptEvent> event) {
+            mEvent = event;
+        }
+
         @Override
         public void onProgress(boolean first) {}
 
