Give each request of the older router an id of its own

Cause: the identity of an attempt is the request id and the attempt's number, and is all that ties an answer to an attempt on a pooled connection. A request with Last-Event-ID took its id from that header, which a caller sends again with each resume, and attempts count from 1 again: the same identity twice on one connection.

Change: each request gets an id from the router; none comes again. The server needs only the number of the next event for a resume (X-Resume-From), which it gets as before. Event ids, X-Request-Id of the answer and the choice of the version go by the id of the stream, as before (CallerRequest.streamId).

Evidence: LateAnswerTest, run before the change: 3 of its 3 cases on resumes fail, AnswerComplete for a request that got 500; after it, 3 of 3 pass.

--- a/src/main/java/org/jacinthwharf/process/router/CallerRequest.java
+++ b/src/main/java/org/jacinthwharf/process/router/CallerRequest.java
@@ -14,7 +14,7 @@
  *
  * <p>Immutable.
  *
- * @param id unique id assigned by the router; a resumed stream keeps its original id
+ * @param id id that the router assigned, to this request only
  * @param callerId id that the caller supplied, else {@code id}; returned with the answer
  * @param customer customer that the request is charged to
  * @param model model or plain service that serves the request
@@ -46,6 +46,11 @@
         OptionalDouble costHint,
         long deadlineMillis,
         Optional<StreamEventId> lastEvent) {
+    /** Returns the id that the caller knows the stream by; a resumed one keeps its first id. */
+    RequestId streamId() {
+        return lastEvent.map(StreamEventId::request).orElse(id);
+    }
+
     /** Returns the key under which costs and times to first byte are recorded. */
     String routeKey() {
         return model + "/" + route;
--- a/src/main/java/org/jacinthwharf/process/router/RequestExecution.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestExecution.java
@@ -303,7 +303,8 @@
 
     @Override
     public String eventId(long sequence) {
-        return new StreamEventId(mRequest.id(), mSlot.orElseThrow().server(), sequence).toString();
+        return new StreamEventId(mRequest.streamId(), mSlot.orElseThrow().server(), sequence)
+                .toString();
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/process/router/RequestParser.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestParser.java
@@ -93,8 +93,9 @@
         if (idText != null && RequestId.parse(idText).isEmpty()) {
             return malformed(RequestHeaders.REQUEST_ID, idText);
         }
-        // Callers may reuse an id, so answers are matched by an id that the router assigns.
-        RequestId id = lastEvent.map(StreamEventId::request).orElseGet(mIdSupplier);
+        // Callers may reuse an id, also that of a stream, so answers are matched by an id that the
+        // router assigns.
+        RequestId id = mIdSupplier.get();
         String keyText = header.apply(RequestHeaders.REQUEST_KEY);
         Optional<RequestKey> key = keyText == null ? Optional.empty() : RequestKey.parse(keyText);
         if (keyText != null && key.isEmpty()) {
@@ -123,7 +124,9 @@
         return new Parsed(
                 new CallerRequest(
                         id,
-                        idText == null ? id.value() : idText,
+                        idText == null
+                                ? lastEvent.map(StreamEventId::request).orElse(id).value()
+                                : idText,
                         customer,
                         model,
                         generate ? (stream ? "stream" : "whole") : serviceRoute(path),
--- a/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
+++ b/src/main/java/org/jacinthwharf/process/router/RouterProcess.java
@@ -404,7 +404,9 @@
     @Override
     public PoolId choosePool(CallerRequest request) {
         return mVersions.choose(
-                mConfiguration.model(request.model()).orElseThrow(), request.id(), request.route());
+                mConfiguration.model(request.model()).orElseThrow(),
+                request.streamId(),
+                request.route());
     }
 
     @Override
