End an attempt whose place a late answer took, and its connection

What callers of the older router would see: no answer until the silence limit or the deadline, although the server answered at once.

Cause: an answer that names an earlier attempt of the same request was dropped without an event, so the attempt waited for an answer that had no place left on its connection. Nothing closed the connection but the abort at the first byte of the body, which an empty answer does not have.

Change: each answer that is not that of the attempt ends the attempt as crossed (a retry where the request allows it), and closes its connection.

--- a/src/main/java/org/jacinthwharf/process/router/AttemptReceiver.java
+++ b/src/main/java/org/jacinthwharf/process/router/AttemptReceiver.java
@@ -89,11 +89,9 @@
         }
         Match match = mMatcher.onAnswer(parseAttemptId(headers));
         if (match != Match.ACCEPTED) {
+            // Also a late answer to an earlier attempt leaves this one without its own.
             mSink.onDropped(match);
-            if (match == Match.CROSSED) {
-                finish(new AttemptEvent.CrossedAnswer(mAttemptId.attempt()));
-            }
-            mFinished = true;
+            finish(new AttemptEvent.CrossedAnswer(mAttemptId.attempt()));
             return;
         }
         mSink.onProgress(true);
--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
+import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -96,13 +97,24 @@
         outgoing.timeout(mRequestTimeout.toMillis(), TimeUnit.MILLISECONDS);
         AtomicBoolean requestBegun = new AtomicBoolean();
         outgoing.onRequestBegin(r -> requestBegun.set(true));
-        outgoing.onResponseHeaders(
-                r -> mLoop.execute(() -> listener.onHeaders(r.getStatus(), r.getHeaders())));
+        outgoing.onResponseHeaders(r -> mLoop.execute(() -> forwardHead(listener, r)));
         outgoing.onResponseContentAsync((r, c, more) -> forwardContent(listener, r, c, more));
         outgoing.send(result -> onResult(listener, result, requestBegun.get()));
         return reason -> outgoing.abort(new AttemptCancelledException(reason));
     }
 
+    private static void forwardHead(AttemptListener listener, Response response) {
+        if (listener.isFinished()) {
+            return;
+        }
+        listener.onHeaders(response.getStatus(), response.getHeaders());
+        Connection connection = response.getRequest().getConnection();
+        if (listener.isFinished() && connection != null) {
+            // An answer to another attempt; the next one on this connection may be to this one.
+            connection.close();
+        }
+    }
+
     private void forwardContent(
             AttemptListener listener, Response response, Content.Chunk content, Runnable readMore) {
         ByteBuffer buffer = content.getByteBuffer();
