Take no answer whose head has another one within it

What callers saw (MIXED, both directions): a success where the server answered with 500, a failure where it answered with 200, and a 503, which promises "not run", for a request that ran; with its own id, the server's seal and the whole body.

Cause: a server that cuts a second answer within its head, on a connection that it keeps, and then answers the next request: the parser reads both as one head, with the status of the first ("HTTP/1.1 200 HTTP/1.1 500 Y") and the headers of the second, so with the right id. The cut may be in the reason phrase or in any header before the id. No id tells this.

Change: a status line in the reason phrase, or in the name or value of a header, shows the seam (HeadSeam). The connection is closed, as after any answer that cannot be read, and counted (joined_answers); the request is repeated where that is allowed. The older router does the same.

Weighed and not taken: to drop every connection after a crossed answer (the cut one names no id).

--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import org.jacinthwharf.connection.HeadSeam;
 import org.jacinthwharf.connection.ServerAddress;
 import org.jacinthwharf.id.RequestId;
 
@@ -22,8 +23,9 @@
  * <p>Used on the event loop only. Invariants: data that arrives while no request is in flight, or
  * after the end of its answer, belongs to no request, and the connection is closed; the connection
  * is offered for reuse only after all data that was read together with the end of an answer has
- * been processed; it carries no id twice, and none after {@link CarriedIds#MAX_IDS}; a server that
- * sends {@link #MAX_FRAMING_BYTES} without a head or a part of a body is disconnected.
+ * been processed; it carries no id twice, and none after {@link CarriedIds#MAX_IDS}; a head that
+ * another one runs into is no answer; a server that sends {@link #MAX_FRAMING_BYTES} without a head
+ * or a part of a body is disconnected.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -164,6 +166,11 @@
             onBroken("an answer without a request");
             return;
         }
+        if (hasSeam(head)) {
+            mPool.countEvent("joined_answers");
+            onBroken("the head of an answer within another");
+            return;
+        }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mDiscarding = true;
             return;
@@ -178,6 +185,12 @@
         }
     }
 
+    private static boolean hasSeam(HttpResponse head) {
+        return HeadSeam.isIn(head.status().reasonPhrase())
+                || head.headers().entries().stream()
+                        .anyMatch(h -> HeadSeam.isIn(h.getKey() + " " + h.getValue()));
+    }
+
     private void updateKeepAlive(HttpResponse head) {
         if (!HttpUtil.isKeepAlive(head)) {
             mReusable = false;
--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -1,8 +1,10 @@
 package org.jacinthwharf.process.router;
 
+import com.google.common.base.Strings;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.primitives.Longs;
 import com.google.protobuf.ByteString;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.OptionalLong;
@@ -22,6 +24,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Promise;
+import org.jacinthwharf.connection.HeadSeam;
 import org.jacinthwharf.process.loop.EventLoop;
 
 /**
@@ -97,13 +100,27 @@
         outgoing.timeout(mRequestTimeout.toMillis(), TimeUnit.MILLISECONDS);
         AtomicBoolean requestBegun = new AtomicBoolean();
         outgoing.onRequestBegin(r -> requestBegun.set(true));
-        outgoing.onResponseHeaders(r -> mLoop.execute(() -> forwardHead(listener, r)));
+        outgoing.onResponseHeaders(r -> forwardHead(listener, r));
         outgoing.onResponseContentAsync((r, c, more) -> forwardContent(listener, r, c, more));
         outgoing.send(result -> onResult(listener, result, requestBegun.get()));
         return reason -> outgoing.abort(new AttemptCancelledException(reason));
     }
 
-    private static void forwardHead(AttemptListener listener, Response response) {
+    private void forwardHead(AttemptListener listener, Response response) {
+        if (hasSeam(response)) {
+            response.abort(new IOException("the head of an answer within another"));
+        } else {
+            mLoop.execute(() -> acceptHead(listener, response));
+        }
+    }
+
+    private static boolean hasSeam(Response response) {
+        return HeadSeam.isIn(Strings.nullToEmpty(response.getReason()))
+                || response.getHeaders().stream()
+                        .anyMatch(h -> HeadSeam.isIn(h.getName() + " " + h.getValue()));
+    }
+
+    private static void acceptHead(AttemptListener listener, Response response) {
         if (listener.isFinished()) {
             return;
         }
