Forward no CONNECT request

What callers saw: a CONNECT request for a path of a route was forwarded (SecondAnswerTest.connectIsNotForwarded: 200 by the server, 405 wanted).

Cause: CONNECT passed like any method. By reading of the codec (not run): after its success the codec decodes no more on that connection, so the body is lost and the next request on it has no answer.

Change: 405, not run (method_not_allowed). No test of the platform sends it.

Evidence: the test was red before, green after.

--- a/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -98,6 +99,10 @@
                     RefusalReason.NOT_READY,
                     NOT_READY_RETRY_MILLIS);
         }
+        if (request.method().equals(HttpMethod.CONNECT)) {
+            // The codec reads no further answer on a connection after a success of CONNECT.
+            return refuse(request, caller, callerHeaders, RefusalReason.METHOD_NOT_ALLOWED, 0);
+        }
         String host = request.headers().get(HttpHeaderNames.HOST, "");
         Optional<Route> route = routes.get().find(host, HttpCall.stripQuery(request.uri()));
         if (route.isEmpty()) {
