--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -1,8 +1,10 @@
 package org.jacinthwharf.process.router;
 
+import com.google.common.base.Strings;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.primitives.Longs;
 import com.google.protobuf.ByteString;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.OptionalLong;
@@ -11,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
+import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -21,6 +24,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Promise;
+import org.jacinthwharf.connection.HeadSeam;
 import org.jacinthwharf.process.loop.EventLoop;
 
 /**
@@ -96,13 +100,38 @@
         outgoing.timeout(mRequestTimeout.toMillis(), TimeUnit.MILLISECONDS);
         AtomicBoolean requestBegun = new AtomicBoolean();
         outgoing.onRequestBegin(r -> requestBegun.set(true));
-        outgoing.onResponseHeaders(
-                r -> mLoop.execute(() -> listener.onHeaders(r.getStatus(), r.getHeaders())));
+        outgoing.onResponseHeaders(r -> forwardHead(listener, r));
         outgoing.onResponseContentAsync((r, c, more) -> forwardContent(listener, r, c, more));
         outgoing.send(result -> onResult(listener, result, requestBegun.get()));
         return reason -> outgoing.abort(new AttemptCancelledException(reason));
     }
 
+    private void forwardHead(AttemptListener listener, Response response) {
+        if (hasSeam(response)) {
+            response.abort(new IOException("the head of an answer within another"));
+        } else {
+            mLoop.execute(() -> acceptHead(listener, response));
+        }
+    }
+
+    private static boolean hasSeam(Response response) {
+        return HeadSeam.isIn(Strings.nullToEmpty(response.getReason()))
+                || response.getHeaders().stream()
+                        .anyMatch(h -> HeadSeam.isIn(h.getName() + " " + h.getValue()));
+    }
+
+    private static void acceptHead(AttemptListener listener, Response response) {
+        if (listener.isFinished()) {
+            return;
+        }
+        listener.onHeaders(response.getStatus(), response.getHeaders());
+        Connection connection = response.getRequest().getConnection();
+        if (listener.isFinished() && connection != null) {
+            // An answer to another attempt; the next one on this connection may be to this one.
+            connection.close();
+        }
+    }
+
     private void forwardContent(
             AttemptListener listener, Response response, Content.Chunk content, Runnable readMore) {
         ByteBuffer buffer = content.getByteBuffer();
