Take no answer that follows one which swallowed the right one

What callers saw, in the test (MIXED, with ids that are new for each sending): a success where the server answered with 500, and the reverse.

Cause: a server cuts its second answer to an earlier request within its body, on a connection that it keeps. The gateway discards that answer by its length, and the answer in flight with it. A second answer to the request in flight, with the other outcome, is then taken for the first.

Change: a status line within the body of an answer that is discarded ends the connection (HeadSeam, as within heads; joined_answers).

Weighed and not taken: to end each attempt that meets an answer to another request: most of these are whole, and the right answer follows.

--- a/src/main/java/org/jacinthwharf/connection/HeadSeam.java
+++ b/src/main/java/org/jacinthwharf/connection/HeadSeam.java
@@ -9,6 +9,9 @@
  * headers of both. A status line within a head shows it.
  */
 public final class HeadSeam {
+    /** Length of what {@link #isIn} looks for. */
+    public static final int LENGTH = "HTTP/1.1 200".length();
+
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9][0-9]");
 
     private HeadSeam() {}
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -1,6 +1,7 @@
 package org.jacinthwharf.process.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import org.jacinthwharf.connection.HeadSeam;
 import org.jacinthwharf.connection.ServerAddress;
 import org.jacinthwharf.id.RequestId;
@@ -45,6 +47,10 @@
     private ExchangeListener mListener;
     private boolean mBusy;
     private boolean mDiscarding;
+
+    /** The last bytes of the body that is discarded. */
+    private String mDiscardedEnd = "";
+
     private boolean mAnswered;
     private boolean mHeadSeen;
     private boolean mRequestWritten;
@@ -181,10 +187,20 @@
         if (mListener != null && !mListener.onHead(head, use())) {
             mPool.countEvent("crossed_answer");
             mDiscarding = true;
+            mDiscardedEnd = "";
             mReusable = false;
         }
     }
 
+    /**
+     * Returns whether the next bytes of a discarded body have a head, perhaps of the next answer.
+     */
+    private boolean hasSeam(ByteBuf data) {
+        String text = mDiscardedEnd + data.toString(StandardCharsets.ISO_8859_1);
+        mDiscardedEnd = text.substring(Math.max(0, text.length() - HeadSeam.LENGTH + 1));
+        return HeadSeam.isIn(text);
+    }
+
     private static boolean hasSeam(HttpResponse head) {
         return HeadSeam.isIn(head.status().reasonPhrase())
                 || head.headers().entries().stream()
@@ -206,6 +222,11 @@
     private void onContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (mDiscarding) {
+            if (hasSeam(content.content())) {
+                mPool.countEvent("joined_answers");
+                onBroken("the head of an answer within that to another request");
+                return;
+            }
             mDiscarding = !last;
             return;
         }
