Don't stop a destination before its first request (router)

Seen: a router process ended while it served: event=invariant_broken, NullPointerException in AbstractConnectionPool.activate ("this.pool" is null) under BackendClient.send, on the event loop. Its callers got closed connections, then none were accepted.

Cause: Jetty takes the time of the last use of a new destination for 0. Each call that needs a connection of its own (non- idempotent ones, probes) and each new server creates a destination.

Change: the client's transport marks a destination as used when it creates it. The idle time of 10 s then counts from there.

--- a/src/main/java/org/jacinthwharf/process/router/HttpFactory.java
+++ b/src/main/java/org/jacinthwharf/process/router/HttpFactory.java
@@ -1,8 +1,11 @@
 package org.jacinthwharf.process.router;
 
 import java.time.Duration;
+import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Origin;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.client.transport.HttpDestination;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -64,7 +67,7 @@
         connector.setSelectors(1);
         connector.setExecutor(mPool);
         connector.setConnectTimeout(BackendClient.CONNECT_TIMEOUT);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClient client = new HttpClient(new Transport(connector));
         client.setExecutor(mPool);
         // Applies to pooled connections; the silence detector watches in-flight requests.
         client.setIdleTimeout(BackendClient.CONNECTION_IDLE_TIMEOUT.toMillis());
@@ -76,4 +79,23 @@
         client.setDefaultRequestContentType(null);
         return client;
     }
+
+    /**
+     * Creates destinations that are new, not idle. Jetty takes the time of the last use of a new
+     * destination for 0, so a sweep before its first request stopped it, and that request failed
+     * with an exception.
+     */
+    private static final class Transport extends HttpClientTransportOverHTTP {
+        Transport(ClientConnector connector) {
+            super(connector);
+        }
+
+        @Override
+        public Destination newDestination(Origin origin) {
+            Destination destination = super.newDestination(origin);
+            // Records the current time as that of the last use.
+            ((HttpDestination) destination).stale();
+            return destination;
+        }
+    }
 }
