--- a/src/test/java/org/jacinthwharf/process/control/ControlStateMachineTest.java
+++ b/src/test/java/org/jacinthwharf/process/control/ControlStateMachineTest.java
@@ -53,6 +53,14 @@
         assertThat(mState.configuration().getCustomers(0).getWeight()).isEqualTo(5.0);
     }
 
+    /** Guards against "applied" for a command that was not, since its id was used for another. */
+    @Test
+    void usedCommandIdIsNotAcknowledgedForAnotherCommand() {
+        apply(mState, TestCommands.customer("c1", "alpha", 1));
+        CommandReply other = apply(mState, TestCommands.customer("c1", "alpha", 5));
+        assertThat(other.getResult()).isNotEqualTo(CommandResult.APPLIED);
+    }
+
     /** Guards against accepting invalid commands, for example with a misspelt failure domain. */
     @Test
     void invalidCommandIsRefusedWithoutNewRevision() {
