Create an attempt's request after its counters; drop code that nothing calls

Found by the review by reading: a fault in onAttemptStart would leak the buffer of the request; an address kept an empty entry in the pool; nothing called discardAnswer. No behaviour that callers see changes.

--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -288,8 +288,8 @@
         mSentNanos = now;
         mHeardNanos = now;
         mAnswer = null;
-        FullHttpRequest copy = newServerRequest(placement, remainingMillis);
         mPool = mContext.onAttemptStart(placement.server(), mDispatch);
+        FullHttpRequest copy = newServerRequest(placement, remainingMillis);
         Attempt attempt = new Attempt(this);
         mAttempt = attempt;
         attempt.send(
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -103,13 +103,6 @@
         return new ConnectionUse(port, mRequests);
     }
 
-    /** Discards the rest of the answer in flight, so that the connection can be reused. */
-    void discardAnswer(ExchangeListener listener) {
-        if (mListener == listener) {
-            mListener = null;
-        }
-    }
-
     /** Cancels the request in flight by closing the connection. */
     void cancel(ExchangeListener listener) {
         if (mListener == listener && mBusy) {
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -96,13 +96,6 @@
             }
         }
 
-        /** Discards the rest of the answer without calling the listener. */
-        void discardAnswer() {
-            if (mConnection != null) {
-                mConnection.discardAnswer(mListener);
-            }
-        }
-
         void setReading(boolean reading) {
             if (mConnection != null && !mCancelled) {
                 mConnection.setReading(reading);
@@ -112,7 +105,7 @@
 
     /**
      * Returns whether a request with this id can be sent now: not if all idle connections have
-     * carried the id, and too many were replaced for that reason.
+     * carried the id, and too many were replaced for that reason. Closes expired connections.
      */
     boolean canSend(ServerAddress address, RequestId id) {
         return findIdle(address, id).connection().isPresent()
@@ -257,6 +250,7 @@
                 .filter(c -> !c.isUsable(now))
                 .toList()
                 .forEach(ServerConnection::close);
+        mIdle.values().removeIf(ArrayDeque::isEmpty);
         mReplacements.removeExpired(now);
     }
 
