--- a/src/main/java/org/jacinthwharf/process/gateway/CallNumbers.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallIds.java
@@ -5,7 +5,7 @@
  *
  * <p>Not thread-safe.
  */
-final class CallNumbers {
+final class CallIds {
     private long mCalls;
 
     /** Returns an id that begins with that of the caller, for logs. */
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
@@ -65,7 +65,7 @@
     private final LoadShedder mLoadShedder;
     private final RandomGenerator mRandom;
     private final GatewayProcess mProcess;
-    private final CallNumbers mCallNumbers = new CallNumbers();
+    private final CallIds mCallIds = new CallIds();
 
     CallerRequestHandler(
             GatewayConfiguration configuration,
@@ -170,7 +170,7 @@
         mBudget.onRequest(service, now);
         DispatchRequest dispatch =
                 new DispatchRequest(
-                        mCallNumbers.next(callerHeaders.requestId()),
+                        mCallIds.next(callerHeaders.requestId()),
                         holder.map(h -> CustomerId.of(h.getCustomer())).orElse(ANONYMOUS),
                         service,
                         route.getName(),
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -169,7 +169,7 @@
             mWaiting = false;
             contain(() -> mContext.cancelWaiting(this));
         }
-        contain(this::cancelExchange);
+        contain(this::cancelAttempt);
         contain(() -> releasePlacement(Optional.empty()));
         if (!mAnswered) {
             mAnswered = true;
@@ -403,7 +403,7 @@
         if (mRelaysEvents) {
             onStreamData(data);
         } else if (!mAnswer.append(data)) {
-            cancelExchange();
+            cancelAttempt();
             mMayHaveRun = true;
             mCause = "answer is too large";
             endWithError(RefusalReason.BACKEND_FAILED, 0);
@@ -733,7 +733,7 @@
             endBlocked();
         } else if (mAttempt != null && !mAnswerBegun && guard.isSuspect(mSubjects)) {
             mMayHaveRun = true;
-            cancelExchange();
+            cancelAttempt();
             endBlocked();
         }
     }
@@ -770,7 +770,7 @@
     /** Closes the caller's connection, because the answer cannot be completed. */
     private void abort(String cause) {
         mCause = cause;
-        cancelExchangeIfSafe();
+        cancelAttemptIfSafe();
         end("broken_off", 0, mCaller::abort);
     }
 
@@ -823,7 +823,7 @@
             mContext.cancelWaiting(this);
         } else {
             mMayHaveRun = true;
-            cancelExchangeIfSafe();
+            cancelAttemptIfSafe();
         }
         endWithError(reason, retryMillis);
     }
@@ -841,7 +841,7 @@
         if (mWaiting) {
             mContext.cancelWaiting(this);
         }
-        cancelExchangeIfSafe();
+        cancelAttemptIfSafe();
         end("caller_gone", 0, () -> {});
     }
 
@@ -849,16 +849,16 @@
      * Cancels the current attempt if the request is a stream or may run again; otherwise lets the
      * server finish it.
      */
-    private void cancelExchangeIfSafe() {
+    private void cancelAttemptIfSafe() {
         if (mAttempt == null) {
             return;
         }
         if (isStream() || isSafeToRerun()) {
-            cancelExchange();
+            cancelAttempt();
         }
     }
 
-    private void cancelExchange() {
+    private void cancelAttempt() {
         if (mAttempt != null) {
             mAttempt.cancel();
             releasePlacement(Optional.empty());
@@ -866,11 +866,11 @@
     }
 
     /** Limits how long a server may finish an answer that nobody waits for. */
-    private void cancelExchangeAfterDeadline() {
+    private void cancelAttemptAfterDeadline() {
         if (mAttempt != null) {
             long remaining = Math.max(0, mDeadlineNanos - now());
             Duration delay = Duration.ofNanos(remaining).plus(FINISH_TIME_AFTER_DEADLINE);
-            mContext.loop().schedule(delay, () -> step(this::cancelExchange));
+            mContext.loop().schedule(delay, () -> step(this::cancelAttempt));
         }
     }
 
@@ -943,7 +943,7 @@
             mSubjects.request(); // The server may crash after the call has ended.
         }
         mRequest.release();
-        cancelExchangeAfterDeadline();
+        cancelAttemptAfterDeadline();
     }
 
     private long millisSinceArrival(long nanos) {
--- a/src/test/java/org/jacinthwharf/process/gateway/RepeatedIdVersionTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/RepeatedIdVersionTest.java
@@ -100,7 +100,7 @@
                         mLoop);
         VersionSelector selector = new VersionSelector(s -> Optional.of(MODEL), driver);
         List<BackendServer> servers = servers();
-        CallNumbers calls = new CallNumbers();
+        CallIds calls = new CallIds();
         int count = 0;
         for (int i = 0; i < 100; i++) {
             DispatchRequest request = request(calls.next(sameId ? "same" : "id-" + i));
