--- a/src/test/java/org/jacinthwharf/process/gateway/ServerPoolTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/ServerPoolTest.java
@@ -151,8 +151,12 @@
     }
 
     private ConnectionUse send(String id) throws Exception {
-        ConnectionUse use = start(id).get(5, TimeUnit.SECONDS);
-        // The connection is idle only after the read that ended the answer.
+        return awaitIdle(start(id));
+    }
+
+    /** Waits until the connection of an exchange is idle, after the read that ended the answer. */
+    private ConnectionUse awaitIdle(CompletableFuture<ConnectionUse> exchange) throws Exception {
+        ConnectionUse use = exchange.get(5, TimeUnit.SECONDS);
         CompletableFuture.runAsync(() -> {}, mLoop).get(5, TimeUnit.SECONDS);
         return use;
     }
@@ -177,8 +181,8 @@
     void anIdThatComesAgainTakesAnIdleConnectionThatHasNotCarriedIt() throws Exception {
         CompletableFuture<ConnectionUse> one = start("one");
         CompletableFuture<ConnectionUse> two = start("two");
-        one.get(5, TimeUnit.SECONDS);
-        two.get(5, TimeUnit.SECONDS);
+        awaitIdle(one);
+        awaitIdle(two);
         assertThat(send("one").localPort()).isEqualTo(two.join().localPort());
         assertThat(mAccepted.get()).isEqualTo(2);
     }
