Look for heads within heads in one place, and without a copy of each header

The gateway and the older router each joined name and value of every header of every answer to look for a status line.

--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -197,7 +197,7 @@
     private static boolean hasSeam(HttpResponse head) {
         return HeadSeam.isIn(head.status().reasonPhrase())
                 || head.headers().entries().stream()
-                        .anyMatch(h -> HeadSeam.isIn(h.getKey() + " " + h.getValue()));
+                        .anyMatch(h -> HeadSeam.isIn(h.getKey(), h.getValue()));
     }
 
     private void updateKeepAlive(HttpResponse head) {
--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -117,7 +117,8 @@
     private static boolean hasSeam(Response response) {
         return HeadSeam.isIn(Strings.nullToEmpty(response.getReason()))
                 || response.getHeaders().stream()
-                        .anyMatch(h -> HeadSeam.isIn(h.getName() + " " + h.getValue()));
+                        .anyMatch(
+                                h -> HeadSeam.isIn(h.getName(), Strings.nullToEmpty(h.getValue())));
     }
 
     private static void acceptHead(AttemptListener listener, Response response) {
