--- a/src/main/java/org/jacinthwharf/process/settings/NodeSettings.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettings.java
@@ -26,6 +26,7 @@
  * @param regions region of each failure domain
  * @param bounds bounds that the fleet guarantees
  * @param maxDescriptors descriptors that the process may have open, files included
+ * @param duties duties of the fleet; empty if it makes no outside calls
  */
 public record NodeSettings(
         String vmId,
@@ -38,7 +39,8 @@
         String dataFolder,
         Map<String, String> regions,
         NodeBounds bounds,
-        int maxDescriptors) {
+        int maxDescriptors,
+        Optional<DutySettings> duties) {
     /** Limit of a process whose settings name none. */
     public static final int DEFAULT_MAX_DESCRIPTORS = 4_096;
 
--- a/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
@@ -71,7 +71,8 @@
                         require(bounds, "retryRatio", key).asDouble(),
                         requireMillis(bounds, "retryWindow", key),
                         require(bounds, "retrySlack", key).asDouble()),
-                maxDescriptors(root, key));
+                maxDescriptors(root, key),
+                Optional.empty());
     }
 
     private static int maxDescriptors(JsonNode root, String[] key) {
