Replicate grants of duties, usage windows and orders for servers

Cause: what an outside call says must be the same whoever holds the duty, and a token must never be given twice (docs/design/duties.md, R1 and R2). ControlStateMachine passes commands of duties to it and keeps no replies of them.

--- a/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Optional;
 import org.jacinthwharf.process.consensus.StateMachine;
+import org.jacinthwharf.process.duty.DutyState;
 import org.jacinthwharf.wire.generated.Command;
 import org.jacinthwharf.wire.generated.CommandReply;
 import org.jacinthwharf.wire.generated.CommandResult;
@@ -13,16 +14,18 @@
 import org.jacinthwharf.wire.generated.ControlSnapshot;
 
 /**
- * The state that the control group replicates: configuration, version moves, claims and replies.
+ * The state that the control group replicates: configuration, version moves, claims, duties and
+ * replies.
  *
  * <p>Called on the event loop only. Invariants: the revision grows by one with each applied
  * configuration change and with nothing else; a command whose id is among the last {@link
- * #MAX_RETAINED_REPLIES} is not applied again and gets the original reply, except for claims and
- * move steps; equal sequences of commands give equal snapshots.
+ * #MAX_RETAINED_REPLIES} is not applied again and gets the original reply, except for claims, move
+ * steps and duties; equal sequences of commands give equal snapshots.
  *
- * <p>Replies to claims, claim ends and move steps are not retained by command id, since retaining
- * them would evict the replies to operators' commands. These commands are idempotent without it:
- * claims have a claim id, and move steps state a target.
+ * <p>Replies to claims, claim ends, move steps and duties are not retained by command id, since
+ * retaining them would evict the replies to operators' commands. These commands are idempotent
+ * without it: claims have a claim id, move steps state a target, and of duties only a grant has an
+ * effect when it is repeated: one more token.
  */
 public final class ControlStateMachine implements StateMachine {
     static final int MAX_RETAINED_REPLIES = 10_000;
@@ -33,6 +36,7 @@
     private final Claims mClaims;
     private final ClaimClock mClock = new ClaimClock();
     private final ConfigurationState mState = new ConfigurationState();
+    private final DutyState mDuties = new DutyState();
     private final ChangeRules mRules = new ChangeRules(mState);
     private final LinkedHashMap<String, CommandReply> mReplies = new LinkedHashMap<>();
     private Optional<ConfigurationListener> mListener = Optional.empty();
@@ -56,6 +60,11 @@
         return mState.revision();
     }
 
+    /** Returns the duties; only committed commands change them. */
+    public DutyState duties() {
+        return mDuties;
+    }
+
     @Override
     public ByteString apply(long index, ByteString command) {
         try {
@@ -78,6 +87,10 @@
                                     mClaims.end(command.getClaimEnd(), mClock.advance(command)))
                             .build();
             case MOVE_STEP -> applyChange(command);
+            case GRANT_DUTY, FIX_USAGE, USAGE_DELIVERED, RECORD_ORDER, ORDER_DELIVERED -> {
+                mDuties.apply(command);
+                yield reply(command, CommandResult.APPLIED, "").build();
+            }
             default -> applyOnce(command);
         };
     }
@@ -135,6 +148,7 @@
                         .addAllClaims(mClaims.records())
                         .addAllReplies(mReplies.values());
         mClock.addTo(snapshot);
+        mDuties.toMessage().ifPresent(snapshot::setDuties);
         return snapshot.build().toByteString();
     }
 
@@ -149,6 +163,7 @@
         mState.replace(parsed.getConfiguration());
         mClaims.restore(parsed.getClaimsList());
         mClock.restore(parsed);
+        mDuties.replace(parsed.getDuties());
         mReplies.clear();
         parsed.getRepliesList().forEach(r -> mReplies.put(r.getCommandId(), r));
         mListener.ifPresent(ConfigurationListener::onRestore);
--- a/src/main/java/org/jacinthwharf/process/settings/DutySettings.java
+++ b/src/main/java/org/jacinthwharf/process/settings/DutySettings.java
@@ -37,7 +37,9 @@
                 "usageWindowMillis must be positive, not %s",
                 usageWindowMillis);
         Preconditions.checkArgument(
-                usageDelayMillis > 0, "usageDelayMillis must be positive, not %s", usageDelayMillis);
+                usageDelayMillis > 0,
+                "usageDelayMillis must be positive, not %s",
+                usageDelayMillis);
         duties = ImmutableSet.copyOf(duties);
     }
 }
