--- a/src/main/java/org/jacinthwharf/process/duty/OutsideAnswer.java
+++ b/src/main/java/org/jacinthwharf/process/duty/OutsideAnswer.java
@@ -6,6 +6,8 @@
     DONE,
     /** A higher token was seen before; the call was not carried out. */
     FENCED,
+    /** Nothing was written, since there was no connection, or the holder no longer may call. */
+    NOT_SENT,
     /** Too many calls were made; the call was not carried out. */
     LIMITED,
     /** The call was refused as malformed or not allowed; repeating it does not help. */
--- a/src/main/java/org/jacinthwharf/process/duty/OutsideInterface.java
+++ b/src/main/java/org/jacinthwharf/process/duty/OutsideInterface.java
@@ -1,6 +1,7 @@
 package org.jacinthwharf.process.duty;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /**
  * Makes outside calls; implemented by the adapter of a deployment.
@@ -9,6 +10,11 @@
  */
 @FunctionalInterface
 public interface OutsideInterface {
-    /** Makes one call, once. */
-    CompletableFuture<OutsideAnswer> call(OutsideCall call);
+    /**
+     * Makes one call, once.
+     *
+     * @param maySend asked immediately before the call is written, once a connection exists; if it
+     *     returns false, nothing is written
+     */
+    CompletableFuture<OutsideAnswer> call(OutsideCall call, BooleanSupplier maySend);
 }
--- a/src/main/java/org/jacinthwharf/process/metrics/FleetMetrics.java
+++ b/src/main/java/org/jacinthwharf/process/metrics/FleetMetrics.java
@@ -24,6 +24,9 @@
     private final Histogram mLoopDelaySeconds;
     private final Histogram mLoadRoundTripSeconds;
     private final Gauge mStorageFailing;
+    private final Gauge mDutyToken;
+    private final Gauge mUsageWindow;
+    private final Gauge mServersOrdered;
 
     /** Creates the metrics in their own registry. */
     public FleetMetrics() {
@@ -76,6 +79,24 @@
                         .help("Time from a gateway's load report to the sums that include it.")
                         .classicUpperBounds(DELAY_BOUNDS)
                         .register(mRegistry);
+        mDutyToken =
+                Gauge.builder()
+                        .name("jacinthwharf_duty_token")
+                        .help("Fencing token of a duty that this process holds; 0 if it does not.")
+                        .labelNames("duty")
+                        .register(mRegistry);
+        mUsageWindow =
+                Gauge.builder()
+                        .name("jacinthwharf_usage_window")
+                        .help("Last usage window that this process fixed, or reported, by state.")
+                        .labelNames("state")
+                        .register(mRegistry);
+        mServersOrdered =
+                Gauge.builder()
+                        .name("jacinthwharf_servers_ordered")
+                        .help("Servers that this process ordered last.")
+                        .labelNames("service", "failure_domain")
+                        .register(mRegistry);
         mStorageFailing =
                 Gauge.builder()
                         .name("jacinthwharf_storage_failing")
@@ -129,6 +150,21 @@
         mLoadRoundTripSeconds.observe(seconds);
     }
 
+    /** Sets the token of a duty that this process holds; 0 if it does not hold the duty. */
+    public void setDutyToken(String duty, long token) {
+        mDutyToken.labelValues(duty).set(token);
+    }
+
+    /** Sets the number of the last usage window in a state, {@code fixed} or {@code reported}. */
+    public void setUsageWindow(String state, long window) {
+        mUsageWindow.labelValues(state).set(window);
+    }
+
+    /** Sets the number of servers that were ordered for a service in a failure domain. */
+    public void setServersOrdered(String service, String failureDomain, int servers) {
+        mServersOrdered.labelValues(service, failureDomain).set(servers);
+    }
+
     /** Records whether the disk of a control member refuses writes. */
     public void setStorageFailing(boolean failing) {
         mStorageFailing.set(failing ? 1 : 0);
