Wire duties and metering into gateways and control members

Cause: the parts of docs/design/duties.md were not used by the processes. Change: settings name the outside interface (absent: nothing changes); gateways count and report; control members collect, and the leader reports. Empty answers are built in one place.

--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Function;
@@ -18,14 +20,21 @@
 import org.jacinthwharf.connection.Links;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.consensus.ReplicatedLog;
+import org.jacinthwharf.process.duty.DutyDriver;
+import org.jacinthwharf.process.duty.OutsideInterface;
 import org.jacinthwharf.process.loop.NettyEventLoop;
 import org.jacinthwharf.process.membership.DirectoryMessages;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.process.metrics.MetricsText;
+import org.jacinthwharf.process.settings.DutySettings;
 import org.jacinthwharf.process.settings.NodeSettings;
+import org.jacinthwharf.process.usage.FleetClock;
+import org.jacinthwharf.process.usage.UsageCollector;
 import org.jacinthwharf.wire.generated.ControlMembers;
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.Hello;
+import org.jacinthwharf.wire.generated.UsageReport;
+import org.jacinthwharf.wire.generated.UsageReportAck;
 
 /**
  * A control process that discovers its group through seeds and serves gateways.
@@ -51,6 +60,8 @@
     private final EvidenceRelay mEvidence;
     private final LoadAggregator mLoadAggregator;
     private final ControlGroupLinks mGroupLinks;
+    private final Optional<UsageCollector> mUsage;
+    private final Optional<DutyDriver> mDuties;
     private final HttpEndpoint mOperatorEndpoint;
     private final HttpEndpoint mMetricsEndpoint;
     private final Set<Link> mGateways = new HashSet<>();
@@ -64,13 +75,15 @@
      *
      * @param components consensus, claims, version moves and the witness
      * @param operators creates the handler of operators' HTTP requests
+     * @param outside creates the outside interface that the duties of the settings use
      */
     public SeededControlProcess(
             NodeSettings settings,
             NettyEventLoop loop,
             FleetMetrics metrics,
             ControlProcess.Components components,
-            Function<FleetControl, Function<HttpCall, CompletableFuture<HttpAnswer>>> operators) {
+            Function<FleetControl, Function<HttpCall, CompletableFuture<HttpAnswer>>> operators,
+            Function<DutySettings, OutsideInterface> outside) {
         mSettings = settings;
         mLoop = loop;
         mMetrics = metrics;
@@ -97,6 +110,17 @@
         mLoadAggregator = new LoadAggregator(loop);
         mDirectory = new DirectoryService(mLoadAggregator::isRelayFor, loop);
         mEvidence = new EvidenceRelay(mLoadAggregator::isRelayFor, loop);
+        mUsage =
+                settings.duties()
+                        .map(
+                                d ->
+                                        new UsageCollector(
+                                                d,
+                                                state.duties()::nextWindow,
+                                                new FleetClock(loop),
+                                                loop,
+                                                metrics));
+        mDuties = settings.duties().map(d -> newDutyDriver(d, state, outside.apply(d)));
         mGroupLinks = new ControlGroupLinks(settings, mLinks, new LinkHandler());
         mOperatorEndpoint =
                 new HttpEndpoint(
@@ -108,6 +132,21 @@
                         call -> CompletableFuture.completedFuture(MetricsText.answer(metrics)));
     }
 
+    private DutyDriver newDutyDriver(
+            DutySettings duties, ControlStateMachine state, OutsideInterface outside) {
+        return new DutyDriver(
+                mSettings.self(),
+                duties,
+                state.duties(),
+                mLog,
+                mLoop,
+                outside,
+                mUsage.orElseThrow(),
+                lastOrders -> List.of(),
+                mMetrics,
+                new SplittableRandom(mLoop.nowNanos()));
+    }
+
     private static Hello hello(NodeSettings settings, long nowMillis) {
         return Hello.newBuilder()
                 .setVmId(settings.vmId())
@@ -131,6 +170,7 @@
         mLoop.execute(this::updateMembers);
         mLoop.scheduleRepeatedly(MEMBER_UPDATE_INTERVAL, this::updateMembers);
         mLoop.scheduleRepeatedly(ConfigurationPublisher.PUSH_INTERVAL, this::tick);
+        mDuties.ifPresent(d -> mLoop.scheduleRepeatedly(DutyDriver.TICK, d::tick));
         mLoop.execute(mDirectory::start);
         mLoop.execute(mEvidence::start);
         if (mSettings.listen().http().isPresent()) {
@@ -235,6 +275,7 @@
                         mEvidence.onMemberEvidence(message.getPromptEvidence(), mGateways);
                     }
                 }
+                case USAGE_REPORT -> onUsageReport(link, message.getUsageReport());
                 case CONTROL_MEMBERS -> onMembers(message.getControlMembers());
                 default -> mDispatcher.onMessage(link, message);
             }
@@ -248,6 +289,7 @@
                         DIRECTORY_ACK,
                         GATEWAY_LOAD,
                         PROMPT_EVIDENCE,
+                        USAGE_REPORT,
                         CONTROL_MEMBERS,
                         REVISION_REPORT,
                         SUBSCRIBE,
@@ -257,6 +299,17 @@
             };
         }
 
+        private void onUsageReport(Link link, UsageReport report) {
+            mUsage.filter(u -> isGateway(link)).ifPresent(u -> u.onReport(link.peer(), report));
+            link.send(
+                    Envelope.newBuilder()
+                            .setUsageReportAck(
+                                    UsageReportAck.newBuilder()
+                                            .setSequence(report.getSequence())
+                                            .setWallMillis(mLoop.nowMillis()))
+                            .build());
+        }
+
         private void onMembers(ControlMembers members) {
             // This is how a process whose seeds are out of date discovers the members of the group.
             List<VmId> discovered = new ArrayList<>();
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -15,7 +14,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -129,12 +127,10 @@
         request.release();
         mKeepAlive = false;
         answer(
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
+                EmptyAnswers.of(
                         tooLong
-                                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                                : HttpResponseStatus.BAD_REQUEST,
-                        Unpooled.EMPTY_BUFFER));
+                                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code()
+                                : HttpResponseStatus.BAD_REQUEST.code()));
     }
 
     private void handleNext() {
--- a/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CallerRequestHandler.java
@@ -2,15 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -242,10 +238,7 @@
     }
 
     private static FullHttpResponse emptyAnswer(RefusalReason reason) {
-        return new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(reason.status()),
-                Unpooled.EMPTY_BUFFER);
+        return EmptyAnswers.of(reason.status());
     }
 
     /** Closes caller connections that exceed the idle timeout in force. */
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -2,9 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -104,6 +102,7 @@
     /** Whether the request is sent although it, or a segment of its prompt, crashed servers. */
     private boolean mRetest;
 
+    private boolean mBegun;
     private boolean mEnded;
     private boolean mAnswered;
     private boolean mReleased;
@@ -185,11 +184,7 @@
         }
         RefusalReason reason =
                 mayHaveRun ? RefusalReason.BACKEND_FAILED : RefusalReason.INTERNAL_FAULT;
-        mCaller.answer(
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(reason.status()),
-                        Unpooled.EMPTY_BUFFER));
+        mCaller.answer(EmptyAnswers.of(reason.status()));
     }
 
     /** Runs a step of the end of a call that has failed; the next steps follow in any case. */
@@ -426,6 +421,14 @@
         if (!mAnswerBegun) {
             mAnswerBegun = true;
             mContext.crashGuard().onAnswerBegun(mSubjects);
+            onBegun(isStream() ? now() : mSentNanos);
+        }
+    }
+
+    private void onBegun(long nanos) {
+        if (!mBegun) {
+            mBegun = true;
+            mContext.onBegun(mDispatch, mCustomer, nanos);
         }
     }
 
@@ -752,11 +755,7 @@
                                 ? HttpResponseStatus.GATEWAY_TIMEOUT.code()
                                 : HttpResponseStatus.BAD_GATEWAY.code();
         mContext.metrics().countRefusal(reason);
-        FullHttpResponse answer =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        Unpooled.EMPTY_BUFFER);
+        FullHttpResponse answer = EmptyAnswers.of(status);
         mContext.headerCodec()
                 .writeRefusal(
                         answer.headers(),
@@ -850,9 +849,6 @@
      * server finish it.
      */
     private void cancelAttemptIfSafe() {
-        if (mAttempt == null) {
-            return;
-        }
         if (isStream() || isSafeToRerun()) {
             cancelAttempt();
         }
@@ -879,6 +875,9 @@
         if (mPlacement != null) {
             Placement placement = mPlacement;
             mPlacement = null;
+            if (success.isPresent() && !isStream()) {
+                onBegun(mSentNanos);
+            }
             mTriedServers.add(placement.server().id());
             placement.end();
             long measuredNanos =
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -56,6 +56,14 @@
      */
     Optional<PoolId> onAttemptStart(BackendServer server, DispatchRequest request);
 
+    /**
+     * Records the proof that a server began a request; called once for each request.
+     *
+     * @param customer customer that the request is charged to, if any
+     * @param nanos when the server began it
+     */
+    void onBegun(DispatchRequest request, Optional<String> customer, long nanos);
+
     /**
      * Records the end of an attempt.
      *
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -99,6 +99,7 @@
     private final BufferBudget mBufferBudget = BufferBudget.ofProcess();
     private final Set<ForwardedCall> mCalls = new HashSet<>();
     private final CallerConnections mCallers;
+    private final Optional<Metering> mMetering;
     private Channel mListener;
     private boolean mDispatchScheduled;
     private long mLastTickNanos;
@@ -181,6 +182,9 @@
                 new CrashGuard(mControlLinks, mRanks::isFirst, loop, metrics, this::onConviction);
         mRequestHandler =
                 new CallerRequestHandler(mConfiguration, mRetryBudget, mLoadShedder, random, this);
+        mMetering =
+                settings.duties()
+                        .map(d -> new Metering(d, loop, mControlLinks::send, () -> mCalls));
         mReadyEndpoint = new HttpEndpoint(loop.group(), this::answerReady);
         mMetricsEndpoint = new HttpEndpoint(loop.group(), this::answerMetrics);
     }
@@ -319,6 +323,7 @@
         mConfiguration.configuration().ifPresent(mVersionDriver::tick);
         mPool.closeExpired();
         mCrashGuard.expire();
+        mMetering.ifPresent(m -> m.reporter().tick());
         // Without control nothing is heard of servers, however well they are.
         mServerTable.removeGone(
                 mControlLinks.isEmpty()
@@ -344,6 +349,7 @@
         public void onUp(VmId member) {
             mHealth.onControlContact(true, mLoop.nowNanos());
             mCrashGuard.sendAll(member);
+            mMetering.ifPresent(m -> m.reporter().onUp(member));
             mConfiguration.onUp(member);
         }
 
@@ -351,6 +357,7 @@
         public void onDown(VmId member) {
             mConfiguration.onDown(member);
             mLoadExchange.onDown(member);
+            mMetering.ifPresent(m -> m.reporter().onDown(member));
             mCrashGuard.onLinkDown();
             mHealth.onControlContact(!mControlLinks.isEmpty(), mLoop.nowNanos());
         }
@@ -381,6 +388,9 @@
                     mDispatcher.setLoadDelay(mLoadExchange.loadDelayNanos());
                     dispatchWaiting();
                 }
+                case USAGE_REPORT_ACK ->
+                        mMetering.ifPresent(
+                                m -> m.reporter().onAck(member, message.getUsageReportAck()));
                 case PROMPT_EVIDENCE -> mCrashGuard.onEvidence(message.getPromptEvidence());
                 default ->
                         LOGGER.atFine().log(
@@ -464,6 +474,7 @@
     /** Registers and starts a call. */
     void startCall(ForwardedCall call) {
         mCalls.add(call);
+        mMetering.ifPresent(m -> m.onAsked(call.dispatch().service()));
         call.start();
     }
 
@@ -532,6 +543,11 @@
         return mVersionSelector.onAttemptStart(server, request);
     }
 
+    @Override
+    public void onBegun(DispatchRequest request, Optional<String> customer, long nanos) {
+        mMetering.ifPresent(m -> m.onBegun(request.service(), customer, nanos));
+    }
+
     @Override
     public void onAttemptEnd(
             Optional<PoolId> pool,
--- a/src/main/java/org/jacinthwharf/process/settings/DutySettings.java
+++ b/src/main/java/org/jacinthwharf/process/settings/DutySettings.java
@@ -26,6 +26,18 @@
         long leaseMillis,
         long usageWindowMillis,
         long usageDelayMillis) {
+    /** Few enough for any outside interface; a report and some orders a window need less. */
+    public static final double DEFAULT_CALLS_PER_SECOND = 10;
+
+    /** Three election timeouts. */
+    public static final long DEFAULT_LEASE_MILLIS = 3_000;
+
+    /** A window in which the largest customers have some hundred requests. */
+    public static final long DEFAULT_WINDOW_MILLIS = 5_000;
+
+    /** Two windows, so that a report outlasts the loss of a holder. */
+    public static final long DEFAULT_DELAY_MILLIS = 10_000;
+
     /** Creates settings; all figures must be positive. */
     public DutySettings {
         Preconditions.checkArgument(
--- a/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
+++ b/src/main/java/org/jacinthwharf/process/settings/NodeSettingsReader.java
@@ -4,10 +4,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
+import org.jacinthwharf.process.duty.Duty;
 
 /**
  * Reads the settings of a process that discovers the fleet through seeds.
@@ -19,6 +21,8 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final double MILLIS_PER_SECOND = 1e3;
     private static final double MAX_MILLIS = 86_400_000;
+    private static final ImmutableMap<String, Duty> DUTY_NAMES =
+            ImmutableMap.of("usage_report", Duty.USAGE_REPORT, "autoscale", Duty.SERVER_SCALING);
 
     /** Reads a file and returns the settings or the problem found in it. */
     public SettingsResult<NodeSettings> read(Path file) {
@@ -72,7 +76,32 @@
                         requireMillis(bounds, "retryWindow", key),
                         require(bounds, "retrySlack", key).asDouble()),
                 maxDescriptors(root, key),
-                Optional.empty());
+                duties(root.path("duties"), key));
+    }
+
+    private static Optional<DutySettings> duties(JsonNode node, String[] key) {
+        if (node.isMissingNode() || node.isNull()) {
+            return Optional.empty();
+        }
+        ImmutableSet.Builder<Duty> duties = ImmutableSet.builder();
+        for (JsonNode name : require(node, "names", key)) {
+            // Names of duties that this release does not know are left to a later one.
+            Optional.ofNullable(DUTY_NAMES.get(name.asText())).ifPresent(duties::add);
+        }
+        return Optional.of(
+                new DutySettings(
+                        require(node, "holder", key).asText(),
+                        Endpoint.parse(require(node, "address", key).asText()),
+                        duties.build(),
+                        node.path("callsPerSecond").asDouble(DutySettings.DEFAULT_CALLS_PER_SECOND),
+                        millis(node, "lease", DutySettings.DEFAULT_LEASE_MILLIS, key),
+                        millis(node, "usageWindow", DutySettings.DEFAULT_WINDOW_MILLIS, key),
+                        millis(node, "usageDelay", DutySettings.DEFAULT_DELAY_MILLIS, key)));
+    }
+
+    private static long millis(JsonNode node, String name, long defaultMillis, String[] key) {
+        boolean given = node.hasNonNull(name + "Seconds") || node.hasNonNull(name + "Millis");
+        return given ? requireMillis(node, name, key) : defaultMillis;
     }
 
     private static int maxDescriptors(JsonNode root, String[] key) {
--- a/src/main/java/org/jacinthwharf/process/usage/UsageReporter.java
+++ b/src/main/java/org/jacinthwharf/process/usage/UsageReporter.java
@@ -1,6 +1,5 @@
 package org.jacinthwharf.process.usage;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -24,9 +23,6 @@
  * member has acknowledged it; at most one report to a member is under way.
  */
 public final class UsageReporter {
-    /** Interval of {@link #tick}; what is counted in it is lost with a gateway. */
-    public static final Duration INTERVAL = Duration.ofSeconds(1);
-
     /** Longer than a round trip under load; links drop messages. */
     private static final long ACK_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -78,7 +74,10 @@
         mMembers.remove(member);
     }
 
-    /** Sends each member what it does not know yet. */
+    /**
+     * Sends each member what it does not know yet; called each second, since what is counted in
+     * between is lost with a gateway.
+     */
     public void tick() {
         Iterable<ServiceDemand> demands = mDemands.get();
         mMembers.forEach((vm, member) -> send(vm, member, demands));
--- a/src/test/java/org/jacinthwharf/process/settings/NodeSettingsReaderTest.java
+++ b/src/test/java/org/jacinthwharf/process/settings/NodeSettingsReaderTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
 import java.util.Locale;
+import org.jacinthwharf.process.duty.Duty;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -74,4 +76,39 @@
                     .contains("/maxDescriptors");
         }
     }
+
+    private static String duties(String more) {
+        return ",\"duties\":{\"address\":\"10.9.0.1:80\",\"holder\":\"vm-1\","
+                + "\"names\":[\"usage_report\",\"autoscale\",\"of_a_later_release\"]"
+                + more
+                + "}";
+    }
+
+    // Without an outside interface a process must not try to make outside calls.
+    @Test
+    void dutiesAreOffUnlessTheSettingsNameThem() {
+        String grace = "\"stopGraceSeconds\":8";
+        assertThat(read(grace, "").toString()).contains("duties=Optional.empty");
+        String some =
+                ",\"leaseMillis\":4000,\"usageWindowSeconds\":5,\"usageDelaySeconds\":10,"
+                        + "\"callsPerSecond\":50.0";
+        DutySettings settings =
+                ((SettingsResult.Valid<NodeSettings>) read(grace, duties(some)))
+                        .settings()
+                        .duties()
+                        .orElseThrow();
+        assertThat(settings)
+                .isEqualTo(
+                        new DutySettings(
+                                "vm-1",
+                                Endpoint.parse("10.9.0.1:80"),
+                                EnumSet.allOf(Duty.class),
+                                50,
+                                4_000,
+                                5_000,
+                                10_000));
+        assertThat(read(grace, duties("")).toString()).contains("leaseMillis=3000");
+        assertThat(read(grace, duties(",\"callsPerSecond\":0")))
+                .isInstanceOf(SettingsResult.Invalid.class);
+    }
 }
