Write no request to a server after its deadline

Cause: a request was built before its connect, with the time that remained then. A connect that succeeded after the deadline, before the next tick, still wrote it; so did, at any time up to the connect timeout of 700 ms, the connect of a call that must not run twice, since such a call is not cancelled at its deadline or when its caller leaves. The server was told a deadline that was too late by the time of the connect. A cancelled attempt closed its connection in the ordinary way, so bytes that waited in the socket followed when the link was back, also at the end of the second that a call that must not run twice gets after its deadline.

Change: the pool builds a request when its connection can take it; none is built for a call that has ended or has less than 5 ms left (NOT_SENT). A call that is not wholly written is cancelled at its end, whatever its kind, and a pending connect is closed. A cancelled attempt resets its connection. A call that has written nothing is refused as not run (503 instead of 504). Calls that are written and must not run twice are still finished without their caller. Building the request moved from ForwardedCall to ServerRequests.

Ruled out: a retry or a waiting request that is placed after its deadline (the time is checked at the placement, and again at the write); a route timeout that does not end a call: calls whose connect, write or answer hangs got their answer within 300 ms of it before the change as well.

--- a/src/main/java/org/jacinthwharf/process/gateway/Attempt.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/Attempt.java
@@ -40,6 +40,16 @@
         }
     }
 
+    /** Returns whether any byte of the request may have left this process. */
+    boolean isWriteBegun() {
+        return mExchange == null ? mEnded : mExchange.isWriteBegun();
+    }
+
+    /** Returns whether all bytes of the request have left this process. */
+    boolean isWritten() {
+        return mExchange != null && mExchange.isWritten();
+    }
+
     void setReading(boolean reading) {
         if (mExchange != null) {
             mExchange.setReading(reading);
--- a/src/main/java/org/jacinthwharf/process/gateway/ExchangeListener.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ExchangeListener.java
@@ -11,6 +11,8 @@
         COMPLETE,
         /** No connection was established, so nothing was sent. */
         NOT_CONNECTED,
+        /** The request was no longer to be sent when it could be written, so nothing was sent. */
+        NOT_SENT,
         /** The connection was closed, or its data is not a valid answer. */
         BROKEN
     }
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -2,22 +2,18 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.jacinthwharf.connection.ServerAddress;
 import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.id.RequestId;
@@ -161,7 +157,7 @@
     private void onFault(RuntimeException fault) {
         LOGGER.atSevere().withCause(fault).log(
                 "event=call_fault request=%s", LogText.of(mCallerHeaders.requestId()));
-        boolean mayHaveRun = mMayHaveRun || mAttempt != null;
+        boolean mayHaveRun = mMayHaveRun || (mAttempt != null && mAttempt.isWriteBegun());
         mEnded = true;
         contain(() -> mContext.metrics().countEvent("call_fault"));
         if (mWaiting) {
@@ -252,9 +248,7 @@
     }
 
     private void send(Placement placement) {
-        long now = now();
-        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(mDeadlineNanos - now);
-        if (remainingMillis < MIN_REMAINING_MILLIS) {
+        if (remainingMillis() < MIN_REMAINING_MILLIS) {
             returnPlacement(placement);
             endWithError(RefusalReason.DEADLINE_PASSED, 0);
             return;
@@ -280,15 +274,13 @@
         mRetest = admission == CrashGuard.Admission.RETEST;
         mAnswerBegun = false;
         mRelaysEvents = false;
-        mSentNanos = now;
-        mHeardNanos = now;
+        mSentNanos = now();
+        mHeardNanos = mSentNanos;
         mAnswer = null;
         mPool = mContext.onAttemptStart(placement.server(), mDispatch);
-        FullHttpRequest copy = newServerRequest(placement, remainingMillis);
-        Attempt attempt = new Attempt(this);
-        mAttempt = attempt;
-        attempt.send(
-                listener -> mContext.pool().send(placement.server().address(), copy, id, listener));
+        ServerAddress address = placement.server().address();
+        mAttempt = new Attempt(this);
+        mAttempt.send(l -> mContext.pool().send(address, () -> requestToWrite(placement), id, l));
     }
 
     /** Gives back a placement that was not used. */
@@ -298,29 +290,32 @@
         mContext.onCapacityFreed();
     }
 
-    private FullHttpRequest newServerRequest(Placement placement, long remainingMillis) {
-        HttpHeaders headers = new DefaultHttpHeaders().set(mRequest.headers());
-        HopByHopHeaders.remove(headers);
-        mContext.headerCodec()
-                .writeToServer(
-                        headers,
-                        new HeaderCodec.ServerHeaders(
-                                remainingMillis,
-                                placement.server().id(),
-                                mCustomer,
-                                mStream.lastEventId(),
-                                placement.cacheSource().map(s -> s.address().toString())));
-        ByteBuf body = mRequest.content();
-        if (body.isReadable() || mRequest.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        }
-        return new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                mRequest.method(),
-                mRequest.uri(),
-                body.retainedDuplicate(),
-                headers,
-                new DefaultHttpHeaders());
+    /** Returns the request to write now, or empty if its deadline has passed meanwhile. */
+    private Optional<FullHttpRequest> requestToWrite(Placement placement) {
+        FullHttpRequest[] request = {null};
+        step(
+                () -> {
+                    if (!mEnded && remainingMillis() >= MIN_REMAINING_MILLIS) {
+                        request[0] = newServerRequest(placement);
+                    }
+                });
+        return Optional.ofNullable(request[0]);
+    }
+
+    private FullHttpRequest newServerRequest(Placement placement) {
+        return ServerRequests.create(
+                mRequest,
+                mContext.headerCodec(),
+                new HeaderCodec.ServerHeaders(
+                        remainingMillis(),
+                        placement.server().id(),
+                        mCustomer,
+                        mStream.lastEventId(),
+                        placement.cacheSource().map(s -> s.address().toString())));
+    }
+
+    private long remainingMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mDeadlineNanos - now());
     }
 
     // --- The server's answer --------------------------------------------------------------------
@@ -480,6 +475,10 @@
                 mPlacement.server().onUnreachable(now());
                 onNotRun(RetryReason.CONNECT_FAILED, cause);
             }
+            case NOT_SENT -> {
+                releasePlacement(Optional.empty());
+                endWithError(RefusalReason.DEADLINE_PASSED, 0);
+            }
             case BROKEN -> onConnectionLost(cause);
             default -> throw new IllegalStateException("unknown end of an exchange: " + end);
         }
@@ -821,7 +820,7 @@
             mWaiting = false;
             mContext.cancelWaiting(this);
         } else {
-            mMayHaveRun = true;
+            mMayHaveRun |= mAttempt == null || mAttempt.isWriteBegun();
             cancelAttemptIfSafe();
         }
         endWithError(reason, retryMillis);
@@ -845,11 +844,11 @@
     }
 
     /**
-     * Cancels the current attempt if the request is a stream or may run again; otherwise lets the
-     * server finish it.
+     * Cancels the current attempt if the request is a stream, may run again, or is not yet written;
+     * otherwise lets the server finish it.
      */
     private void cancelAttemptIfSafe() {
-        if (isStream() || isSafeToRerun()) {
+        if (isStream() || isSafeToRerun() || (mAttempt != null && !mAttempt.isWritten())) {
             cancelAttempt();
         }
     }
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -3,8 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -73,8 +75,12 @@
         mChannel = channel;
     }
 
-    /** Sends a request; the connection must be idle and must not have carried the id. */
-    void send(FullHttpRequest request, RequestId id, ExchangeListener listener) {
+    /**
+     * Sends a request; the connection must be idle and must not have carried the id.
+     *
+     * @return the write of the whole request
+     */
+    ChannelFuture send(FullHttpRequest request, RequestId id, ExchangeListener listener) {
         mRequests++;
         mCarried.add(id);
         mBusy = true;
@@ -83,7 +89,7 @@
         mRequestWritten = false;
         mFramingBytes = 0;
         mListener = listener;
-        mChannel.writeAndFlush(request)
+        return mChannel.writeAndFlush(request)
                 .addListener(
                         f -> {
                             mRequestWritten = f.isSuccess();
@@ -103,10 +109,16 @@
         return new ConnectionUse(port, mRequests);
     }
 
-    /** Cancels the request in flight by closing the connection. */
+    /**
+     * Cancels the request in flight by resetting the connection. After an ordinary close, bytes
+     * that wait in the socket, since the link to the server is cut, reach it when the link is back.
+     */
     void cancel(ExchangeListener listener) {
         if (mListener == listener && mBusy) {
             mListener = null;
+            if (mChannel.isActive()) {
+                mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             mChannel.close();
         }
     }
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -4,6 +4,7 @@
 import com.google.common.primitives.Longs;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -20,6 +21,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jacinthwharf.connection.ServerAddress;
 import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.process.loop.EventLoop;
@@ -81,7 +83,16 @@
     /** One request in flight. Used on the event loop only. */
     final class Exchange {
         private final ExchangeListener mListener;
+
+        /** Null if an idle connection is used. */
+        private Channel mConnecting;
+
+        /** Null until the request is written. */
         private ServerConnection mConnection;
+
+        /** Null until the request is written. */
+        private ChannelFuture mWrite;
+
         private boolean mCancelled;
 
         Exchange(ExchangeListener listener) {
@@ -93,6 +104,35 @@
             mCancelled = true;
             if (mConnection != null) {
                 mConnection.cancel(mListener);
+            } else if (mConnecting != null) {
+                mConnecting.close();
+            }
+        }
+
+        /** Returns whether any byte of the request may have left this process. */
+        boolean isWriteBegun() {
+            return mWrite != null;
+        }
+
+        /** Returns whether all bytes of the request have left this process. */
+        boolean isWritten() {
+            return mWrite != null && mWrite.isSuccess();
+        }
+
+        /** Builds and writes the request, unless it must not be sent any more. */
+        private void write(
+                ServerConnection connection,
+                Supplier<Optional<FullHttpRequest>> request,
+                RequestId id) {
+            Optional<FullHttpRequest> built = request.get();
+            if (built.isPresent()) {
+                mConnection = connection;
+                mWrite = connection.send(built.get(), id, mListener);
+                return;
+            }
+            connection.close();
+            if (!mCancelled) {
+                mListener.onEnd(ExchangeListener.ExchangeEnd.NOT_SENT, "not sent");
             }
         }
 
@@ -113,10 +153,15 @@
                 || mReplacements.allows(address, id, mLoop.nowNanos());
     }
 
-    /** Sends a request to a server and releases its buffer. */
+    /**
+     * Sends a request to a server and releases its buffer.
+     *
+     * @param request builds the request, once, when a connection can take it, so that it states the
+     *     time that remains then; empty if it must not be sent any more
+     */
     Exchange send(
             ServerAddress address,
-            FullHttpRequest request,
+            Supplier<Optional<FullHttpRequest>> request,
             RequestId id,
             ExchangeListener listener) {
         Exchange exchange = new Exchange(listener);
@@ -130,8 +175,7 @@
         if (choice.connection().isPresent()) {
             ServerConnection idle = choice.connection().get();
             remove(idle);
-            exchange.mConnection = idle;
-            idle.send(request, id, listener);
+            exchange.write(idle, request, id);
         } else {
             if (choice.passedOver()) {
                 replaceOldestIdle(address, id);
@@ -181,7 +225,10 @@
     }
 
     private void connect(
-            ServerAddress address, FullHttpRequest request, RequestId id, Exchange exchange) {
+            ServerAddress address,
+            Supplier<Optional<FullHttpRequest>> request,
+            RequestId id,
+            Exchange exchange) {
         mMetrics.countEvent("server_connection_opened");
         ServerConnection connection = new ServerConnection(this, address, DEFAULT_IDLE_NANOS);
         ChannelFuture connecting =
@@ -204,16 +251,14 @@
                                     }
                                 })
                         .connect(address.socketAddress());
+        exchange.mConnecting = connecting.channel();
         connecting.addListener(
                 f -> {
                     if (exchange.mCancelled) {
-                        request.release();
                         connecting.channel().close();
                     } else if (f.isSuccess()) {
-                        exchange.mConnection = connection;
-                        connection.send(request, id, exchange.mListener);
+                        exchange.write(connection, request, id);
                     } else {
-                        request.release();
                         exchange.mListener.onEnd(
                                 ExchangeListener.ExchangeEnd.NOT_CONNECTED,
                                 String.valueOf(f.cause()));
--- a/src/test/java/org/jacinthwharf/process/gateway/EndlessAnswerTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/EndlessAnswerTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.connection.ServerAddress;
@@ -61,8 +62,12 @@
                     () ->
                             pool.send(
                                     ServerAddress.parse(server.address()).orElseThrow(),
-                                    new DefaultFullHttpRequest(
-                                            HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                                    () ->
+                                            Optional.of(
+                                                    new DefaultFullHttpRequest(
+                                                            HttpVersion.HTTP_1_1,
+                                                            HttpMethod.GET,
+                                                            "/")),
                                     RequestId.of("1"),
                                     new Listener()));
             assertWithMessage("disconnected").that(server.awaitDisconnect(5)).isTrue();
--- a/src/test/java/org/jacinthwharf/process/gateway/ServerPoolTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/ServerPoolTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -14,6 +15,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -133,11 +135,7 @@
                         return;
                     }
                     Listener listener = new Listener();
-                    mPool.send(
-                            mAddress,
-                            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
-                            RequestId.of(id),
-                            listener);
+                    mPool.send(mAddress, ServerPoolTest::newRequest, RequestId.of(id), listener);
                     listener.mUse.whenComplete(
                             (u, e) -> {
                                 if (e == null) {
@@ -150,6 +148,10 @@
         return use;
     }
 
+    private static Optional<FullHttpRequest> newRequest() {
+        return Optional.of(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+    }
+
     private ConnectionUse send(String id) throws Exception {
         return awaitIdle(start(id));
     }
