Close the connection of a foreign answer before it can be used again

Cause: a router read on its event loop whose answer had come, while the HTTP client's thread had already offered the connection for reuse. An attempt that was sent in between, such as the repeat of the one whose answer was foreign, took the connection, which was then closed under it (ConnectionClosed), or read the next answer on it.

Change: the thread that reads a head compares its ids with those of the attempt, and aborts the response, which closes the connection, before the listener hears of it.

--- a/src/main/java/org/jacinthwharf/process/router/AttemptReceiver.java
+++ b/src/main/java/org/jacinthwharf/process/router/AttemptReceiver.java
@@ -102,7 +102,8 @@
         mStreaming = mWantsStream && status == 200 && mContentType.startsWith("text/event-stream");
     }
 
-    private static Optional<AttemptId> parseAttemptId(HttpFields headers) {
+    /** Returns the attempt that an answer states to belong to. */
+    static Optional<AttemptId> parseAttemptId(HttpFields headers) {
         Optional<RequestId> request =
                 RequestId.parse(nullToEmpty(headers.get(RequestHeaders.REQUEST_ID)));
         Integer attempt = Ints.tryParse(nullToEmpty(headers.get(RequestHeaders.ATTEMPT)));
--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.Connection;
@@ -26,6 +27,7 @@
 import org.eclipse.jetty.util.Promise;
 import org.jacinthwharf.connection.HeadSeam;
 import org.jacinthwharf.process.loop.EventLoop;
+import org.jacinthwharf.request.outcome.AttemptId;
 
 /**
  * Sends attempts and health probes to backend servers.
@@ -100,15 +102,38 @@
         outgoing.timeout(mRequestTimeout.toMillis(), TimeUnit.MILLISECONDS);
         AtomicBoolean requestBegun = new AtomicBoolean();
         outgoing.onRequestBegin(r -> requestBegun.set(true));
-        outgoing.onResponseHeaders(r -> forwardHead(listener, r));
+        AttemptId id = new AttemptId(request.id(), attempt);
+        AtomicReference<Response> foreignHead = new AtomicReference<>();
+        outgoing.onResponseHeaders(r -> forwardHead(listener, r, id, foreignHead));
         outgoing.onResponseContentAsync((r, c, more) -> forwardContent(listener, r, c, more));
-        outgoing.send(result -> onResult(listener, result, requestBegun.get()));
+        outgoing.send(
+                result -> {
+                    if (foreignHead.get() == null) {
+                        onResult(listener, result, requestBegun.get());
+                    } else {
+                        mLoop.execute(() -> acceptHead(listener, foreignHead.get()));
+                    }
+                });
         return reason -> outgoing.abort(new AttemptCancelledException(reason));
     }
 
-    private void forwardHead(AttemptListener listener, Response response) {
+    /**
+     * Forwards the head of an answer. The answer to another attempt is forwarded only when its
+     * connection has been closed, since the next answer on it may be that to this attempt, and no
+     * other attempt may be sent on it.
+     */
+    private void forwardHead(
+            AttemptListener listener,
+            Response response,
+            AttemptId attempt,
+            AtomicReference<Response> foreignHead) {
         if (hasSeam(response)) {
             response.abort(new IOException("the head of an answer within another"));
+        } else if (AttemptReceiver.parseAttemptId(response.getHeaders())
+                .filter(attempt::equals)
+                .isEmpty()) {
+            foreignHead.set(response);
+            response.abort(new IOException("an answer to another attempt"));
         } else {
             mLoop.execute(() -> acceptHead(listener, response));
         }
--- a/src/test/java/org/jacinthwharf/process/router/AttemptFixture.java
+++ b/src/test/java/org/jacinthwharf/process/router/AttemptFixture.java
@@ -6,7 +6,9 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.jacinthwharf.id.CustomerId;
 import org.jacinthwharf.id.ModelId;
@@ -75,6 +77,26 @@
         return receiver;
     }
 
+    /** Keeps the event loop busy until the latch is released. */
+    void holdUpLoop(CountDownLatch end) {
+        mLoop.execute(
+                () -> {
+                    try {
+                        end.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+    }
+
+    /** Returns the number of open connections that wait for another attempt. */
+    int idleConnections() {
+        return mClient.getDestinations().stream()
+                .map(d -> (AbstractConnectionPool) d.getConnectionPool())
+                .mapToInt(AbstractConnectionPool::getIdleConnectionCount)
+                .sum();
+    }
+
     /** Returns how the attempt ended. */
     CompletableFuture<AttemptEvent> event() {
         return mEvent;
--- a/src/test/java/org/jacinthwharf/process/router/LateAnswerTest.java
+++ b/src/test/java/org/jacinthwharf/process/router/LateAnswerTest.java
@@ -16,6 +16,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.process.settings.Limits;
@@ -192,6 +194,37 @@
         }
     }
 
+    // Guards against another attempt that takes the connection before the event loop has read whose
+    // answer came on it.
+    @Test
+    void connectionOfAnAnswerToAnotherRequestIsNotOfferedToOthers() throws Exception {
+        serve(
+                (number, arrivals) ->
+                        (number == 2 ? answer(arrivals.get(0), 200, "") : "")
+                                + answer(arrivals.get(number - 1), 200, "own"));
+        assertThat(send(parse(Map.of()))).isInstanceOf(AttemptEvent.AnswerComplete.class);
+        CountDownLatch busy = new CountDownLatch(1);
+        mFixture.holdUpLoop(busy);
+        CompletableFuture<AttemptEvent> crossed =
+                CompletableFuture.supplyAsync(
+                        () -> {
+                            try {
+                                return send(parse(Map.of()));
+                            } catch (Exception e) {
+                                throw new IllegalStateException(e);
+                            }
+                        });
+        while (mArrivals.size() < 2) {
+            Thread.sleep(5);
+        }
+        for (int i = 0; i < 100 && mFixture.idleConnections() == 0; i++) {
+            Thread.sleep(5);
+        }
+        assertThat(mFixture.idleConnections()).isEqualTo(0);
+        busy.countDown();
+        assertThat(crossed.get(5, TimeUnit.SECONDS)).isInstanceOf(AttemptEvent.CrossedAnswer.class);
+    }
+
     @Test
     void secondAnswerRightAfterTheFirstIsNotTakenForTheNext() throws Exception {
         serve(
