Spread requests evenly while the load of other gateways is late

Cause: gateways hear of each other's load through one control member. While it is frozen, all of them place by the same old loads and send to the engines that seemed empty. A rejected request leaves no trace there, so the next one follows it.

Ruled out: leaving alone each server that rejects a request. A server that rejects one request for a reason of its own was then out of use for all others (PlatformProcessesTest#copiesOfEarlierRefusals). Also ruled out: telling lateness from load changes alone. A request that starts and ends between two ticks changes no load, so no update would follow it and the load would seem late for ever.

Change: the answer to the report of a placement is due within the load delay; a placement is therefore always reported. If that answer is late by one load delay, a rejection counts the other slots of the server as used, until the next update and for at most 50 to 400 ms. After two load delays the load of the others is spread evenly over the servers of a failure domain and version, and ties are broken at random. Rejections while loads are known change nothing.

--- a/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/LoadExchange.java
@@ -62,6 +62,7 @@
     private long mTimedSinceNanos;
     private long mRoundTripNanos;
     private long mTicks;
+    private long mReportedPlacements;
     private boolean mRateLimitChanged;
 
     LoadExchange(
@@ -84,7 +85,10 @@
         mActivity = activity;
     }
 
-    /** Sends the load if it changed, and totals every few ticks; called several times a second. */
+    /**
+     * Sends the load if it changed or a request was placed, and totals every few ticks; called
+     * several times a second.
+     */
     void tick() {
         Optional<VmId> relay = mControlLinks.relay();
         if (relay.isEmpty()) {
@@ -96,6 +100,7 @@
                 periodic ? mLedger.nextTotals().getOrigins(0) : OriginTotals.getDefaultInstance();
         boolean unchanged =
                 load.equals(mLastSent)
+                        && mServerTable.placements() == mReportedPlacements
                         && relay.equals(mLastRelay)
                         && totals.getTotalsCount() == 0
                         && !mRateLimitChanged;
@@ -116,6 +121,7 @@
         if (mControlLinks.send(
                 relay.get(), Envelope.newBuilder().setGatewayLoad(message).build())) {
             mLastSent = load;
+            mReportedPlacements = mServerTable.placements();
             mLastRelay = relay;
             mRateLimitChanged = false;
             startTiming();
--- a/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/BackendServer.java
@@ -25,6 +25,14 @@
     /** A server that was not ejected for this long starts again with the shortest ejection. */
     private static final long EJECTION_RESET_NANOS = 10_000_000_000L;
 
+    /**
+     * Bounds of the time for which a rejection raises the load that stale loads give. The lower one
+     * is about the time in which one of a dozen running requests ends.
+     */
+    private static final long MIN_FULL_NANOS = 50_000_000L;
+
+    private static final long MAX_FULL_NANOS = 400_000_000L;
+
     /** Window in which a server's answers are compared with those of its peers. */
     private static final long ANSWERS_WINDOW_NANOS = 4_000_000_000L;
 
@@ -53,6 +61,9 @@
     private long mPendingPrefillTokens;
     private long mHeldTokens;
     private ServerLoad mOtherGatewaysLoad = ServerLoad.getDefaultInstance();
+    private int mRejectedRunning;
+    private long mFullUntilNanos = Long.MIN_VALUE / 2;
+    private long mFullNanos = MIN_FULL_NANOS;
     private long mLastPendingPrefillNanos = Long.MIN_VALUE / 2;
     private SlidingWindowCounter mAnswers = new SlidingWindowCounter(ANSWERS_WINDOW_NANOS);
     private SlidingWindowCounter mFailedAnswers = new SlidingWindowCounter(ANSWERS_WINDOW_NANOS);
@@ -169,7 +180,7 @@
 
     /** Returns the number of requests of all gateways that run there. */
     int totalRunning() {
-        return mRunning + mOtherGatewaysLoad.getRunning();
+        return mRunning + Math.max(mRejectedRunning, mOtherGatewaysLoad.getRunning());
     }
 
     /** Returns the prompt tokens of all gateways that are not prefilled yet. */
@@ -194,10 +205,41 @@
         return mHeldTokens + mOtherGatewaysLoad.getHeldTokens();
     }
 
+    ServerLoad otherGatewaysLoad() {
+        return mOtherGatewaysLoad;
+    }
+
     void setOtherGatewaysLoad(ServerLoad load) {
         mOtherGatewaysLoad = load;
     }
 
+    /** Ends the effect of rejections, since a newer load is known. */
+    void forgetRejections() {
+        mRejectedRunning = 0;
+        mFullNanos = MIN_FULL_NANOS;
+        mFullUntilNanos = Long.MIN_VALUE / 2;
+    }
+
+    /**
+     * Counts the slots that this gateway does not use as used by others, since the server rejected
+     * a request and the next update of their load is late. Ends with that update or after a time
+     * that grows with consecutive rejections.
+     */
+    void onRejected(long nowNanos) {
+        if (nowNanos >= mFullUntilNanos) {
+            mRejectedRunning = Math.max(0, slots() - mRunning);
+            mFullUntilNanos = nowNanos + mFullNanos;
+            mFullNanos = Math.min(MAX_FULL_NANOS, 2 * mFullNanos);
+        }
+    }
+
+    /** Ends the effect of rejections when their time is over. */
+    void expireRejections(long nowNanos) {
+        if (nowNanos >= mFullUntilNanos) {
+            mRejectedRunning = 0;
+        }
+    }
+
     ServerLoad ownLoad() {
         return ServerLoad.newBuilder()
                 .setServer(mId)
@@ -253,6 +295,7 @@
     public void onSuccess(long nowNanos) {
         mConsecutiveFailures = 0;
         mUnreachable = false;
+        mFullNanos = MIN_FULL_NANOS;
         mAnswers.add(nowNanos);
     }
 
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -128,9 +128,16 @@
      */
     public ImmutableList<DispatchAction<R>> resubmit(
             R call, DispatchRequest request, Set<String> excluded, long nowNanos) {
+        if (mServerTable.loadFreshness().isLate(mLoadDelayNanos, nowNanos)) {
+            excluded.forEach(e -> mServerTable.find(e).ifPresent(s -> s.onRejected(nowNanos)));
+        }
         return submit(call, request, excluded, true, nowNanos);
     }
 
+    private boolean isLoadStale(long nowNanos) {
+        return mServerTable.loadFreshness().isStale(mLoadDelayNanos, nowNanos);
+    }
+
     private ImmutableList<DispatchAction<R>> submit(
             R call, DispatchRequest request, Set<String> excluded, boolean retry, long nowNanos) {
         Optional<ServiceObjectives> service = mServices.apply(request.service());
@@ -339,10 +346,14 @@
 
     /** Returns the servers of a service that may be sent requests now, regardless of load. */
     private List<BackendServer> candidates(ServiceObjectives objectives, long nowNanos) {
+        if (isLoadStale(nowNanos)) {
+            mServerTable.levelOtherGatewaysLoad();
+        }
         List<BackendServer> usable = new ArrayList<>();
         List<BackendServer> ejected = new ArrayList<>();
         List<BackendServer> unreachable = new ArrayList<>();
         for (BackendServer s : mServerTable.ofService(objectives.service().getName())) {
+            s.expireRejections(nowNanos);
             s.recordPendingPrefill(nowNanos);
             if (mHealth.isAvailable(s, nowNanos)
                     && mPermits.allows(s, objectives.service(), nowNanos)) {
@@ -380,6 +391,7 @@
                                 anyEngine,
                                 excluded,
                                 mLoadDelayNanos,
+                                isLoadStale(nowNanos),
                                 nowNanos),
                         prefillModel(request.service()),
                         allowed)
@@ -392,6 +404,7 @@
             ServerChoice.Choice choice,
             long nowNanos) {
         BackendServer server = choice.server();
+        mServerTable.loadFreshness().onPlaced(nowNanos);
         mLedger.charge(request.customer(), cost(request));
         if (!objectives.isEngine()) {
             return new Placement(server, Optional.empty(), 0, 0, nowNanos, n -> {});
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerChoice.java
@@ -92,6 +92,7 @@
      * @param anyEngine whether engines that have to recompute the shared prefix are allowed
      * @param excluded ids of servers that this request was sent to before
      * @param loadDelayNanos time until the other gateways know of a placement
+     * @param staleLoad whether the load of the other gateways is not known at present
      */
     record Criteria(
             DispatchRequest request,
@@ -101,6 +102,7 @@
             boolean anyEngine,
             Set<String> excluded,
             long loadDelayNanos,
+            boolean staleLoad,
             long nowNanos) {}
 
     /**
@@ -176,7 +178,9 @@
                                             || preferred.isCachedOrShort(prompt, s)
                                             || sources.find(s).isPresent());
                         },
-                        s -> engineCost(c.request(), s, preferred, sources, copyRatio))
+                        s ->
+                                engineCost(c.request(), s, preferred, sources, copyRatio)
+                                        + tieBreak(c.staleLoad()))
                 .map(s -> engineChoice(c.request(), s, preferred, sources, copyRatio));
     }
 
@@ -305,6 +309,14 @@
                 + remote;
     }
 
+    /**
+     * Returns a random cost below that of one running request if loads are stale. Without it, all
+     * gateways choose the same one of the engines that seem equal.
+     */
+    private double tieBreak(boolean staleLoad) {
+        return staleLoad ? mRandom.nextDouble() * RUNNING_REQUEST_TOKENS : 0;
+    }
+
     private double plainCost(BackendServer s) {
         double remote = s.failureDomain().equals(mFailureDomain) ? 0 : REMOTE_SERVER_LOAD;
         double tie = mRandom.nextDouble() / (4 * s.slots());
--- a/src/main/java/org/jacinthwharf/request/dispatch/ServerTable.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/ServerTable.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jacinthwharf.connection.ServerAddress;
 import org.jacinthwharf.wire.generated.ServerLoad;
 import org.jacinthwharf.wire.generated.ServerRateLimit;
@@ -25,6 +26,15 @@
 public final class ServerTable {
     private final Map<String, BackendServer> mServers = new HashMap<>();
     private final Map<String, List<BackendServer>> mByService = new HashMap<>();
+    private final LoadFreshness mLoadFreshness = new LoadFreshness();
+    private boolean mLoadLevelled;
+
+    /** Servers that share their load about evenly. */
+    private record Group(String service, String failureDomain, String version) {
+        static Group of(BackendServer s) {
+            return new Group(s.service(), s.failureDomain(), s.version());
+        }
+    }
 
     /**
      * Updates a server from its newest record; a new incarnation starts without history. A record
@@ -112,7 +122,12 @@
 
     /** Sets the load from all other gateways; servers that are not listed are reset to no load. */
     public void setOtherGatewaysLoad(Collection<ServerLoad> loads) {
-        mServers.values().forEach(s -> s.setOtherGatewaysLoad(ServerLoad.getDefaultInstance()));
+        mLoadFreshness.onUpdate();
+        mLoadLevelled = false;
+        for (BackendServer s : mServers.values()) {
+            s.setOtherGatewaysLoad(ServerLoad.getDefaultInstance());
+            s.forgetRejections();
+        }
         for (ServerLoad l : loads) {
             BackendServer server = mServers.get(l.getServer());
             if (server != null && server.bornMillis() == l.getBornMillis()) {
@@ -121,6 +136,51 @@
         }
     }
 
+    LoadFreshness loadFreshness() {
+        return mLoadFreshness;
+    }
+
+    /**
+     * Returns the number of placements so far. Each is to be reported, also if it has ended, since
+     * the answer to the report is awaited.
+     */
+    public long placements() {
+        return mLoadFreshness.placements();
+    }
+
+    /**
+     * Spreads the load from all other gateways over the servers in proportion to their slots, until
+     * it is set again. If it is stale, differences between servers are those of requests that have
+     * ended, and all gateways would send to the servers that had the least load.
+     */
+    void levelOtherGatewaysLoad() {
+        if (mLoadLevelled) {
+            return;
+        }
+        mLoadLevelled = true;
+        mServers.values().stream()
+                .filter(s -> s.status() == ServerStatus.SERVING)
+                .collect(Collectors.groupingBy(Group::of))
+                .values()
+                .forEach(ServerTable::level);
+    }
+
+    private static void level(List<BackendServer> servers) {
+        double slots = servers.stream().mapToInt(BackendServer::slots).sum();
+        List<ServerLoad> loads = servers.stream().map(BackendServer::otherGatewaysLoad).toList();
+        double running = loads.stream().mapToDouble(ServerLoad::getRunning).sum() / slots;
+        double unread = loads.stream().mapToDouble(ServerLoad::getUnreadTokens).sum() / slots;
+        double held = loads.stream().mapToDouble(ServerLoad::getHeldTokens).sum() / slots;
+        servers.forEach(
+                s ->
+                        s.setOtherGatewaysLoad(
+                                ServerLoad.newBuilder()
+                                        .setRunning((int) (running * s.slots()))
+                                        .setUnreadTokens((long) (unread * s.slots()))
+                                        .setHeldTokens((long) (held * s.slots()))
+                                        .build()));
+    }
+
     /** Returns the load from this gateway, for servers that run any of its requests. */
     public ImmutableList<ServerLoad> localLoad() {
         return mServers.values().stream()
--- a/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
+++ b/src/test/java/org/jacinthwharf/request/dispatch/DispatcherTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.jacinthwharf.id.CustomerId;
+import org.jacinthwharf.wire.generated.ServerLoad;
 import org.junit.jupiter.api.Test;
 
 /** Tests where requests are placed, how long they are queued and when they are refused. */
@@ -293,4 +294,51 @@
         mScenario.submit(mScenario.bookingRequest("r2"));
         assertThat(mScenario.mPlaced).containsExactly("r1@b1");
     }
+
+    /** Guards against sending to full engines while no update of the others' load arrives. */
+    @Test
+    void rejectionsCountOnlyUntilTheLateUpdateOfTheLoad() {
+        mScenario.addEngines(2);
+        mScenario.mServerTable.setOtherGatewaysLoad(List.of());
+        mScenario.submit(mScenario.engineRequest("r0", "a", "s0", 0, 100));
+        BackendServer e0 = mScenario.mServerTable.find("e0").orElseThrow();
+        rejectAtE0("fresh");
+        assertThat(e0.totalRunning()).isLessThan(e0.slots());
+
+        mScenario.run(40);
+        rejectAtE0("late");
+        assertThat(e0.totalRunning()).isEqualTo(e0.slots());
+        mScenario.submit(mScenario.engineRequest("r1", "a", "s1", 0, 100));
+        assertThat(mScenario.serversOf("r1")).containsExactly("@e1");
+
+        mScenario.mServerTable.setOtherGatewaysLoad(List.of());
+        assertThat(e0.totalRunning()).isLessThan(e0.slots());
+    }
+
+    private void rejectAtE0(String id) {
+        mScenario.recordActions(
+                mScenario.mDispatcher.resubmit(
+                        id,
+                        mScenario.engineRequest(id, "a", id, 0, 100),
+                        Set.of("e0"),
+                        mScenario.mNow));
+    }
+
+    /** Guards against all gateways sending to the engine that had the least load long ago. */
+    @Test
+    void engineThatSeemedEmptyIsNotPreferredOnceTheLoadIsStale() {
+        mScenario.addEngines(2);
+        mScenario.mServerTable.setOtherGatewaysLoad(
+                List.of(ServerLoad.newBuilder().setServer("e0").setRunning(40).build()));
+        for (int i = 0; i < 4; i++) {
+            mScenario.submit(mScenario.engineRequest("early" + i, "a", "s" + i, 0, 100));
+        }
+        assertThat(mScenario.serversOf("early")).containsExactly("@e1");
+
+        mScenario.run(80);
+        for (int i = 0; i < 8; i++) {
+            mScenario.submit(mScenario.engineRequest("later" + i, "a", "t" + i, 0, 100));
+        }
+        assertThat(mScenario.serversOf("later")).contains("@e0");
+    }
 }
