Refuse a command with the id of another command

Cause: the state machine looked up a reply by the command id alone, so an operator's command with a used id got the reply of the first command, APPLIED, and changed nothing.

Ruled out: a hash of the whole command. The leader sets the time and the phase of a move, and a sender may read the revision anew, so a command that is sent again for an unknown outcome would be refused.

Change: a stored reply holds a hash of what the sender chose (CommandReply.command_hash, a new field). Another command with the id gets INVALID and its text says why. Members of both releases in one group reply differently, but neither applies such a command.

--- a/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
@@ -1,5 +1,6 @@
 package org.jacinthwharf.process.control;
 
+import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.LinkedHashMap;
@@ -99,11 +100,14 @@
         if (command.getCommandId().isEmpty()) {
             return reply(command, CommandResult.INVALID, "the command has no id").build();
         }
+        ByteString hash = hash(command);
         CommandReply first = mReplies.get(command.getCommandId());
         if (first != null) {
-            return first;
+            return first.getCommandHash().isEmpty() || first.getCommandHash().equals(hash)
+                    ? first
+                    : reply(command, CommandResult.INVALID, "another command had this id").build();
         }
-        CommandReply reply = applyChange(command);
+        CommandReply reply = applyChange(command).toBuilder().setCommandHash(hash).build();
         mReplies.put(command.getCommandId(), reply);
         if (mReplies.size() > MAX_RETAINED_REPLIES) {
             mReplies.remove(mReplies.keySet().iterator().next());
@@ -111,6 +115,20 @@
         return reply;
     }
 
+    /**
+     * Returns a hash of what the sender of a command chose, which is the same if it is sent again.
+     * The revision is left out, since a sender may read it anew; the phase of a move, since the
+     * leader sets it.
+     */
+    private static ByteString hash(Command command) {
+        Command.Builder sent = command.toBuilder().clearNowMillis().clearBasedOnRevision();
+        if (sent.hasStartMove()) {
+            sent.getStartMoveBuilder().clearPhase();
+        }
+        return ByteString.copyFrom(
+                Hashing.murmur3_128().hashBytes(sent.build().toByteArray()).asBytes());
+    }
+
     private CommandReply applyChange(Command command) {
         long base = command.getBasedOnRevision();
         if (base != 0 && base != mState.revision()) {
--- a/src/test/java/org/jacinthwharf/process/control/ControlStateMachineTest.java
+++ b/src/test/java/org/jacinthwharf/process/control/ControlStateMachineTest.java
@@ -61,6 +61,39 @@
         assertThat(other.getResult()).isNotEqualTo(CommandResult.APPLIED);
     }
 
+    /** Guards against a repeated command that is taken for another one. */
+    @Test
+    void repeatedCommandWithAnotherTimeAndRevisionReturnsFirstReply() {
+        CommandReply first = apply(mState, TestCommands.customer("c1", "alpha", 1).setNowMillis(1));
+        CommandReply repeated =
+                apply(
+                        mState,
+                        TestCommands.customer("c1", "alpha", 1)
+                                .setNowMillis(2)
+                                .setBasedOnRevision(1));
+        assertThat(repeated).isEqualTo(first);
+    }
+
+    /** Guards against a member that forgets with a snapshot which command had an id. */
+    @Test
+    void usedCommandIdIsRefusedAfterRestoreUnlessTheSnapshotHoldsNoHash() throws Exception {
+        CommandReply first = apply(mState, TestCommands.customer("c1", "alpha", 1));
+        ControlSnapshot snapshot = ControlSnapshot.parseFrom(mState.snapshot());
+
+        mState.restore(snapshot.toByteString());
+        CommandReply other = apply(mState, TestCommands.customer("c1", "alpha", 5));
+        assertThat(other.getResult()).isEqualTo(CommandResult.INVALID);
+        assertThat(other.getDetail()).isNotEmpty();
+        assertThat(apply(mState, TestCommands.customer("c1", "alpha", 1))).isEqualTo(first);
+
+        ControlSnapshot.Builder earlierRelease = snapshot.toBuilder();
+        earlierRelease.getRepliesBuilderList().forEach(CommandReply.Builder::clearCommandHash);
+        mState.restore(earlierRelease.build().toByteString());
+        CommandReply reply = apply(mState, TestCommands.customer("c1", "alpha", 5));
+        assertThat(reply.getResult()).isEqualTo(CommandResult.APPLIED);
+        assertThat(mState.revision()).isEqualTo(1);
+    }
+
     /** Guards against accepting invalid commands, for example with a misspelt failure domain. */
     @Test
     void invalidCommandIsRefusedWithoutNewRevision() {
