Decide how many servers each service should have

Gateways report demand each second, but control members wanted no servers. ServerScalingService observes on all members and answers the duty driver.

--- a/src/main/java/org/jacinthwharf/process/control/ConfigurationState.java
+++ b/src/main/java/org/jacinthwharf/process/control/ConfigurationState.java
@@ -1,7 +1,9 @@
 package org.jacinthwharf.process.control;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.jacinthwharf.wire.generated.Configuration;
 import org.jacinthwharf.wire.generated.ConfigurationDelta;
 import org.jacinthwharf.wire.generated.Customer;
@@ -38,6 +40,14 @@
         return mFailureDomains.get(id);
     }
 
+    /** Returns the failure domains that are out of service. */
+    Set<String> closedDomains() {
+        return mFailureDomains.values().stream()
+                .filter(FailureDomain::getOut)
+                .map(FailureDomain::getId)
+                .collect(Collectors.toSet());
+    }
+
     Model model(String id) {
         return mModels.get(id);
     }
--- a/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlStateMachine.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.LinkedHashMap;
 import java.util.Optional;
+import java.util.Set;
 import org.jacinthwharf.process.consensus.StateMachine;
 import org.jacinthwharf.process.duty.DutyState;
 import org.jacinthwharf.wire.generated.Command;
@@ -12,6 +13,7 @@
 import org.jacinthwharf.wire.generated.Configuration;
 import org.jacinthwharf.wire.generated.ConfigurationDelta;
 import org.jacinthwharf.wire.generated.ControlSnapshot;
+import org.jacinthwharf.wire.generated.RoutingTable;
 
 /**
  * The state that the control group replicates: configuration, version moves, claims, duties and
@@ -55,6 +57,16 @@
         return mState.toMessage();
     }
 
+    /** Returns the committed routing table. */
+    Optional<RoutingTable> routing() {
+        return mState.routing();
+    }
+
+    /** Returns the failure domains that are out of service. */
+    Set<String> closedDomains() {
+        return mState.closedDomains();
+    }
+
     /** Returns the revision of the committed configuration. */
     public long revision() {
         return mState.revision();
--- a/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
+++ b/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
@@ -144,6 +144,11 @@
         return !running.isEmpty() && running.stream().allMatch(r -> r.getVersion().equals(version));
     }
 
+    /** Returns all servers, including those that are gone. */
+    ImmutableList<ServerDirectory.Entry> entries() {
+        return mDirectory.entries();
+    }
+
     private ServerRecord find(String server, long now) {
         return mDirectory.find(server).orElseThrow().toMessage(now);
     }
--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -61,6 +61,7 @@
     private final LoadAggregator mLoadAggregator;
     private final ControlGroupLinks mGroupLinks;
     private final Optional<UsageCollector> mUsage;
+    private final Optional<ServerScalingService> mScaling;
     private final Optional<DutyDriver> mDuties;
     private final HttpEndpoint mOperatorEndpoint;
     private final HttpEndpoint mMetricsEndpoint;
@@ -120,6 +121,16 @@
                                                 new FleetClock(loop),
                                                 loop,
                                                 metrics));
+        mScaling =
+                mUsage.map(
+                        u ->
+                                new ServerScalingService(
+                                        state,
+                                        mDirectory,
+                                        u,
+                                        loop,
+                                        settings.bounds().announceMillis(),
+                                        mGateways));
         mDuties = settings.duties().map(d -> newDutyDriver(d, state, outside.apply(d)));
         mGroupLinks = new ControlGroupLinks(settings, mLinks, new LinkHandler());
         mOperatorEndpoint =
@@ -142,7 +153,7 @@
                 mLoop,
                 outside,
                 mUsage.orElseThrow(),
-                lastOrders -> List.of(),
+                mScaling.orElseThrow(),
                 mMetrics,
                 new SplittableRandom(mLoop.nowNanos()));
     }
@@ -170,6 +181,7 @@
         mLoop.execute(this::updateMembers);
         mLoop.scheduleRepeatedly(MEMBER_UPDATE_INTERVAL, this::updateMembers);
         mLoop.scheduleRepeatedly(ConfigurationPublisher.PUSH_INTERVAL, this::tick);
+        mScaling.ifPresent(s -> mLoop.scheduleRepeatedly(ServerScalingService.TICK, s::tick));
         mDuties.ifPresent(d -> mLoop.scheduleRepeatedly(DutyDriver.TICK, d::tick));
         mLoop.execute(mDirectory::start);
         mLoop.execute(mEvidence::start);
@@ -300,7 +312,10 @@
         }
 
         private void onUsageReport(Link link, UsageReport report) {
-            mUsage.filter(u -> isGateway(link)).ifPresent(u -> u.onReport(link.peer(), report));
+            if (isGateway(link)) {
+                mUsage.ifPresent(u -> u.onReport(link.peer(), report));
+                mScaling.ifPresent(s -> s.onReport(link.peer(), report));
+            }
             link.send(
                     Envelope.newBuilder()
                             .setUsageReportAck(
--- a/src/test/java/org/jacinthwharf/ArchitectureTest.java
+++ b/src/test/java/org/jacinthwharf/ArchitectureTest.java
@@ -14,7 +14,8 @@
         "org.jacinthwharf.id..",
         "org.jacinthwharf.request..",
         "org.jacinthwharf.version..",
-        "org.jacinthwharf.process.membership.."
+        "org.jacinthwharf.process.membership..",
+        "org.jacinthwharf.process.scaling.."
     };
 
     @ArchTest
