Count refused requests when they end

The refused requests of a service were computed as asked minus begun minus open. Open streams that have begun were subtracted twice, so that refusals stayed hidden until there were more of them than running streams. A request now counts as refused when it ends and no server has begun it.

Compiles; the count is used by the planner and covered by its load tests only through reports that the tests make up.

--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -474,7 +474,7 @@
     /** Registers and starts a call. */
     void startCall(ForwardedCall call) {
         mCalls.add(call);
-        mMetering.ifPresent(m -> m.onAsked(call.dispatch().service()));
+        mMetering.ifPresent(m -> m.onAsked(call.dispatch()));
         call.start();
     }
 
@@ -545,7 +545,7 @@
 
     @Override
     public void onBegun(DispatchRequest request, Optional<String> customer, long nanos) {
-        mMetering.ifPresent(m -> m.onBegun(request.service(), customer, nanos));
+        mMetering.ifPresent(m -> m.onBegun(request, customer, nanos));
     }
 
     @Override
@@ -565,5 +565,6 @@
     @Override
     public void onEnd(ForwardedCall call) {
         mCalls.remove(call);
+        mMetering.ifPresent(m -> m.onEnd(call.dispatch()));
     }
 }
--- a/src/main/java/org/jacinthwharf/process/gateway/Metering.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/Metering.java
@@ -1,10 +1,12 @@
 package org.jacinthwharf.process.gateway;
 
-import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
@@ -15,6 +17,7 @@
 import org.jacinthwharf.process.usage.FleetClock;
 import org.jacinthwharf.process.usage.UsageCounter;
 import org.jacinthwharf.process.usage.UsageReporter;
+import org.jacinthwharf.request.dispatch.DispatchRequest;
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.ServiceDemand;
 
@@ -32,10 +35,15 @@
     private final Supplier<? extends Collection<ForwardedCall>> mCalls;
     private final Map<String, Totals> mTotals = new TreeMap<>();
 
+    /** The open requests that no server has begun. */
+    private final Set<DispatchRequest> mNotBegun =
+            Collections.newSetFromMap(new IdentityHashMap<>());
+
     /** Requests for a service since the start of the process. */
     private static final class Totals {
         long mAsked;
         long mBegun;
+        long mRefused;
     }
 
     Metering(
@@ -55,8 +63,9 @@
     }
 
     /** Records the arrival of a request. */
-    void onAsked(String service) {
-        totals(service).mAsked++;
+    void onAsked(DispatchRequest request) {
+        totals(request.service()).mAsked++;
+        mNotBegun.add(request);
     }
 
     /**
@@ -65,12 +74,20 @@
      * @param customer empty if the request is not charged to anybody
      * @param nanos when the server began
      */
-    void onBegun(String service, Optional<String> customer, long nanos) {
-        totals(service).mBegun++;
+    void onBegun(DispatchRequest request, Optional<String> customer, long nanos) {
+        totals(request.service()).mBegun++;
+        mNotBegun.remove(request);
         long ageMillis = TimeUnit.NANOSECONDS.toMillis(mLoop.nowNanos() - nanos);
         customer.ifPresent(c -> mCounter.count(c, mClock.nowMillis() - ageMillis));
     }
 
+    /** Records the end of a request. */
+    void onEnd(DispatchRequest request) {
+        if (mNotBegun.remove(request)) {
+            totals(request.service()).mRefused++;
+        }
+    }
+
     private Totals totals(String service) {
         return mTotals.computeIfAbsent(service, s -> new Totals());
     }
@@ -84,7 +101,8 @@
                                 ServiceDemand.newBuilder()
                                         .setService(service)
                                         .setAsked(totals.mAsked)
-                                        .setBegun(totals.mBegun)));
+                                        .setBegun(totals.mBegun)
+                                        .setRefused(totals.mRefused)));
         for (ForwardedCall call : mCalls.get()) {
             ServiceDemand.Builder demand = demands.get(call.dispatch().service());
             if (call.server().isPresent()) {
@@ -93,15 +111,6 @@
                 demand.setWaiting(demand.getWaiting() + 1);
             }
         }
-        List<ServiceDemand> result = new ArrayList<>();
-        demands.values()
-                .forEach(
-                        d -> {
-                            long open = (long) d.getRunning() + d.getWaiting();
-                            result.add(
-                                    d.setRefused(Math.max(0, d.getAsked() - d.getBegun() - open))
-                                            .build());
-                        });
-        return result;
+        return demands.values().stream().map(ServiceDemand.Builder::build).toList();
     }
 }
