--- a/src/main/java/org/jacinthwharf/process/scaling/CapacityPlanner.java
+++ b/src/main/java/org/jacinthwharf/process/scaling/CapacityPlanner.java
@@ -44,6 +44,18 @@
 
     private static final double MAX_FALL_SECONDS = 4;
 
+    /**
+     * Part of the servers above which the need must be for a slow fall. What a server bears is
+     * known only once the servers were full, and each step should be seen before the next one.
+     */
+    private static final double SLOW_FALL_PART = 0.4;
+
+    /** Part of the servers by which the need must be lower, so that noise starts no servers. */
+    private static final double MIN_FALL_PART = 0.1;
+
+    /** Time in which a queue should be served; its requests do not wait for much longer. */
+    private static final double QUEUE_SECONDS = 2;
+
     /** Time after the start of a member within which it hears of all servers. */
     private static final long DISCOVERY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -167,10 +179,15 @@
         return new Share(state, Math.max(bySlots, byRate), reason);
     }
 
-    /** While the time in a slot is not known, at least what runs needs a slot. */
+    /**
+     * Returns the slots for what is asked and for the queue, which is to be served within {@link
+     * #QUEUE_SECONDS}. While the time in a slot is not known, what runs and waits needs a slot
+     * each.
+     */
     private static double slotsNeeded(DomainDemand asked, SlotTime slotTime) {
-        return asked.waiting()
-                + Math.max(asked.running(), asked.asked() * slotTime.seconds().orElse(0));
+        double seconds = slotTime.seconds().orElse(0);
+        double queuePart = seconds == 0 ? 1 : Math.min(1, seconds / QUEUE_SECONDS);
+        return Math.max(asked.running(), asked.asked() * seconds) + asked.waiting() * queuePart;
     }
 
     /** Gives what a failure domain cannot bear to those that can; gateways send there too. */
@@ -291,11 +308,13 @@
             return Math.min(max, Math.max(wanted, inForce));
         }
         long sinceNanos = nowNanos - state.mInForceSinceNanos;
+        boolean worthwhile = floor == min || floor <= (1 - MIN_FALL_PART) * inForce;
         // An order that may still be carried out late is not replaced by a lower one.
-        if (unanswered || !needs.isComplete() || sinceNanos < FALL_INTERVAL_NANOS) {
+        if (unanswered || !needs.isComplete() || sinceNanos < FALL_INTERVAL_NANOS || !worthwhile) {
             return inForce;
         }
-        double seconds = Math.min(MAX_FALL_SECONDS, sinceNanos / 1e9);
+        boolean slow = floor > SLOW_FALL_PART * inForce;
+        double seconds = slow ? 1 : Math.min(MAX_FALL_SECONDS, sinceNanos / 1e9);
         int fall = (int) Math.floor(seconds * Math.max(1, MAX_FALL_PART * inForce));
         return Math.min(inForce, Math.max(floor, inForce - fall));
     }
--- a/src/main/java/org/jacinthwharf/process/scaling/ServerRate.java
+++ b/src/main/java/org/jacinthwharf/process/scaling/ServerRate.java
@@ -44,22 +44,28 @@
      * Growth of the learned rate for each second without refusals, since requests may have become
      * cheaper. Slow, because the servers are full again when it has grown too far.
      */
-    private static final double FORGETTING = 1.005;
+    private static final double FORGETTING = 1.001;
 
     /** Growth while servers run few requests: they were slow for a while and are no longer. */
     private static final double IDLE_FORGETTING = 1.02;
 
     /** Part of the requests of a full server with which it counts as one that runs few. */
-    private static final double IDLE_PART = 0.3;
+    private static final double IDLE_PART = 0.4;
 
     /**
      * Rates are those of the last two to three seconds; servers must have been there throughout.
      */
     private static final long COUNT_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** Part of the most servers of that time that must have been there throughout. */
+    private static final double STEADY_PART = 0.75;
+
     private final Deque<Count> mCounts = new ArrayDeque<>();
     private double mPerServer = Double.POSITIVE_INFINITY;
 
+    /** Whether callers were turned away by servers that had work, at the last observation. */
+    private boolean mFull;
+
     /** Running requests of a server when the servers were full last. */
     private double mFullRunning;
 
@@ -81,14 +87,19 @@
         int least = least();
         int most = mCounts.stream().mapToInt(Count::servers).max().orElse(0);
         if (least == 0) {
+            mFull = false;
             return false;
         }
         double unmet = unmet(demand);
         boolean turnsAway = unmet > MIN_UNMET_PER_SECOND && unmet > MIN_UNMET_PART * demand.asked();
         double running = (double) demand.running() / least;
         boolean full = turnsAway && running >= MIN_LOAD_PART * mUsualRunning;
+        mFull = full;
         if (full) {
-            mPerServer = demand.begun() / least;
+            // Servers that came or went a moment ago did not serve at the measured rate.
+            if (least >= STEADY_PART * most || Double.isInfinite(mPerServer)) {
+                mPerServer = demand.begun() / most;
+            }
             mFullRunning = running;
         } else if (!turnsAway) {
             boolean idle = (double) demand.running() / most < IDLE_PART * mFullRunning;
@@ -117,6 +128,9 @@
         double wanted = Math.max(demand.asked(), demand.begun() + unmet(demand));
         double most = MAX_GROWTH * Math.max(1, least());
         double servers = wanted == 0 ? 0 : wanted / (PLANNED_PART * mPerServer);
+        if (mFull) {
+            servers = Math.max(servers, least() + 1);
+        }
         return OptionalDouble.of(Math.min(most, servers));
     }
 }
