Record all wanted orders in one tick

The driver recorded one order per 100 ms tick and made no call while a record was under way, so that with 60 services and failure domains the first call followed 6 s after the decision. Records do not depend on each other; only a new token has to come first.

DutyScheduleTest passes.

--- a/src/main/java/org/jacinthwharf/process/duty/DutyDriver.java
+++ b/src/main/java/org/jacinthwharf/process/duty/DutyDriver.java
@@ -225,13 +225,12 @@
             if (!same && unanswered && current) {
                 // The earlier order may be carried out late; a higher token makes it void.
                 requestGrant(Duty.SERVER_SCALING, work);
-            } else {
-                propose(
-                        work,
-                        Command.newBuilder().setRecordOrder(order.toBuilder().setToken(token)),
-                        applied -> {});
+                return; // Orders are recorded under the new token, at the next tick.
             }
-            return; // One command at a time; the next tick goes on.
+            propose(
+                    work,
+                    Command.newBuilder().setRecordOrder(order.toBuilder().setToken(token)),
+                    applied -> {});
         }
         mScaledNanos = now;
     }
