Count expected servers in the wait that refused callers are told

The wait was predicted from the present servers only.

DispatcherTest and ExpectedCapacityTest pass.

--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -391,6 +391,9 @@
                 case USAGE_REPORT_ACK ->
                         mMetering.ifPresent(
                                 m -> m.reporter().onAck(member, message.getUsageReportAck()));
+                case EXPECTED_SERVERS ->
+                        mDispatcher.setExpectedServers(
+                                message.getExpectedServers(), mLoop.nowNanos());
                 case PROMPT_EVIDENCE -> mCrashGuard.onEvidence(message.getPromptEvidence());
                 default ->
                         LOGGER.atFine().log(
--- a/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
+++ b/src/main/java/org/jacinthwharf/request/dispatch/Dispatcher.java
@@ -16,6 +16,7 @@
 import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.request.admission.ServiceLedger;
+import org.jacinthwharf.wire.generated.ExpectedServers;
 
 /**
  * Decides for every request of a gateway where it runs, how long it waits and when it is refused.
@@ -84,6 +85,7 @@
     private final Map<String, WaitingRequests<R>> mWaiting = new HashMap<>();
     private final Map<String, PrefillModel> mPrefillModels = new HashMap<>();
     private final DispatchHealth mHealth;
+    private final ExpectedCapacity mExpected = new ExpectedCapacity();
     private long mLoadDelayNanos = MIN_LOAD_DELAY_NANOS;
 
     /**
@@ -118,6 +120,11 @@
         mLoadDelayNanos = Math.max(MIN_LOAD_DELAY_NANOS, Math.min(nanos, MAX_LOAD_DELAY_NANOS));
     }
 
+    /** Replaces the servers that are expected, for the waits that refused callers are told. */
+    public void setExpectedServers(ExpectedServers expected, long nowNanos) {
+        mExpected.update(expected, nowNanos);
+    }
+
     /** Places, queues or refuses a new request. */
     public ImmutableList<DispatchAction<R>> submit(R call, DispatchRequest request, long nowNanos) {
         return submit(call, request, ImmutableSet.of(), false, nowNanos);
@@ -161,7 +168,9 @@
         if (!retry && (wait > expiry - nowNanos || queue.size() >= MAX_WAITING_PER_SERVICE)) {
             mBacklog.onRefused(request.customer(), nowNanos);
             return refuse(
-                    call, RefusalReason.DEADLINE_UNREACHABLE, retryAfterMillis(wait / MILLI_NANOS));
+                    call,
+                    RefusalReason.DEADLINE_UNREACHABLE,
+                    retryAfterMillis(request.service(), wait, nowNanos));
         }
         queue.add(
                 new WaitingRequests.Entry<>(request, call, excluded, latestStart, expiry),
@@ -258,7 +267,8 @@
         long wait =
                 queue.predictedWaitNanos(entry.request(), entry.latestStartNanos(), nowNanos)
                         .orElse(0L);
-        return refuse(entry.call(), reason, retryAfterMillis(wait / MILLI_NANOS));
+        return refuse(
+                entry.call(), reason, retryAfterMillis(entry.request().service(), wait, nowNanos));
     }
 
     private void placeWaiting(
@@ -457,6 +467,21 @@
         return mWaiting.values().stream().mapToInt(WaitingRequests::size).sum();
     }
 
+    /** Returns what a caller is told for a predicted wait with the present servers. */
+    private long retryAfterMillis(String service, long waitNanos, long nowNanos) {
+        long wait =
+                mExpected.shortened(
+                        service, waitNanos, () -> availableServers(service, nowNanos), nowNanos);
+        return retryAfterMillis(wait / MILLI_NANOS);
+    }
+
+    private int availableServers(String service, long nowNanos) {
+        return (int)
+                mServerTable.ofService(service).stream()
+                        .filter(s -> mHealth.isAvailable(s, nowNanos))
+                        .count();
+    }
+
     // Jitter keeps callers that are refused together from retrying together.
     private long retryAfterMillis(long wait) {
         long base = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, wait));
