Choose ports of tests below the ephemeral range, on the addresses they are used on

Cause: fixtures probed a port on the wildcard address inside the range that the system gives to outgoing connections (32768 to 60999), and used it later on another address. Change: FreePorts probes a port on all addresses on which it is used. Fixtures that bind port 0 and keep the socket are unchanged. BenchFleet is compiled, not run.

--- a/src/test/java/org/jacinthwharf/bench/BenchFleet.java
+++ b/src/test/java/org/jacinthwharf/bench/BenchFleet.java
@@ -1,8 +1,6 @@
 package org.jacinthwharf.bench;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
@@ -12,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.jacinthwharf.process.FreePorts;
 import org.jacinthwharf.process.settings.Endpoint;
 
 /**
@@ -112,15 +111,9 @@
                 .formatted(http.get(i), peer.get(i), admin.get(i));
     }
 
-    private void allocatePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+    private void allocatePorts(int count) {
         for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            sockets.add(socket);
-            mFreePorts.add(Endpoint.parse("127.0.0.1:" + socket.getLocalPort()));
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
+            mFreePorts.add(Endpoint.parse("127.0.0.1:" + FreePorts.next()));
         }
     }
 
--- a/src/test/java/org/jacinthwharf/cli/OperatorCommandTest.java
+++ b/src/test/java/org/jacinthwharf/cli/OperatorCommandTest.java
@@ -5,13 +5,12 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import org.jacinthwharf.connection.Link;
+import org.jacinthwharf.process.FreePorts;
 import org.jacinthwharf.process.consensus.ReplicatedLog;
 import org.jacinthwharf.process.control.ControlProcess;
 import org.jacinthwharf.process.control.InMemoryClaims;
@@ -149,10 +148,8 @@
         return code;
     }
 
-    private static Endpoint freeEndpoint() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new Endpoint("127.0.0.1", socket.getLocalPort());
-        }
+    private static Endpoint freeEndpoint() {
+        return new Endpoint("127.0.0.1", FreePorts.next());
     }
 
     private record InMemoryLog(ReplicatedLog log) implements LogFactory.OpenLog {
