Send other calls of a duty after one whose answer was lost

Cause: the holder repeated the oldest window, or the first order, until it got an answer. If the outside interface carries calls out and answers late or never, one window held up all later ones, and one order those of all other services, for as long as that lasted. Change: after a call without an answer, or one that was rejected, the next due call comes first, in turn. Otherwise the order is as before, oldest first.

--- a/src/main/java/org/jacinthwharf/process/duty/DutyDriver.java
+++ b/src/main/java/org/jacinthwharf/process/duty/DutyDriver.java
@@ -1,6 +1,7 @@
 package org.jacinthwharf.process.duty;
 
 import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Iterables;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.EnumMap;
@@ -9,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jacinthwharf.id.LogText;
 import org.jacinthwharf.id.VmId;
@@ -59,6 +61,9 @@
         boolean mCalling;
         long mLoggedToken;
 
+        /** The last call, if it got no answer or was rejected. */
+        Optional<OutsideCall> mUnsettled = Optional.empty();
+
         Work(DutyHolder holder) {
             mHolder = holder;
         }
@@ -117,7 +122,7 @@
                 && !work.mCalling
                 && work.mProposals == 0
                 && mPacing.mayCall(duty, mLoop.nowNanos())) {
-            nextCall(duty).ifPresent(call -> confirmAndCall(work, call));
+            nextCall(duty, work).ifPresent(call -> confirmAndCall(work, call));
         }
     }
 
@@ -238,14 +243,17 @@
 
     // --- Calls ----------------------------------------------------------------------------------
 
-    private Optional<OutsideCall> nextCall(Duty duty) {
+    private Optional<OutsideCall> nextCall(Duty duty, Work work) {
         long token = mState.token(duty);
         if (duty == Duty.USAGE_REPORT) {
-            return mState.pendingWindows().stream().findFirst().map(w -> call(w, token));
+            return nextOf(mState.pendingWindows(), w -> isAbout(work.mUnsettled, w))
+                    .map(w -> call(w, token));
         }
-        return mState.orders().stream()
-                .filter(o -> !o.getDelivered() && o.getToken() == token)
-                .findFirst()
+        List<CapacityOrder> due =
+                mState.orders().stream()
+                        .filter(o -> !o.getDelivered() && o.getToken() == token)
+                        .toList();
+        return nextOf(due, o -> isAbout(work.mUnsettled, o))
                 .map(
                         o ->
                                 new OutsideCall.Capacity(
@@ -255,6 +263,32 @@
                                         o.getServers()));
     }
 
+    /**
+     * Returns the first element, or the one after that of an unsettled call: a call whose answers
+     * are lost or too slow must not hold up all others.
+     */
+    private static <T> Optional<T> nextOf(List<T> due, Predicate<T> isUnsettled) {
+        int unsettled = Iterables.indexOf(due, isUnsettled::test);
+        return due.isEmpty()
+                ? Optional.empty()
+                : Optional.of(due.get((unsettled + 1) % due.size()));
+    }
+
+    private static boolean isAbout(Optional<OutsideCall> call, UsageWindow window) {
+        return call.filter(
+                        c -> c instanceof OutsideCall.Usage u && u.window() == window.getWindow())
+                .isPresent();
+    }
+
+    private static boolean isAbout(Optional<OutsideCall> call, CapacityOrder order) {
+        return call.filter(
+                        c ->
+                                c instanceof OutsideCall.Capacity o
+                                        && o.service().equals(order.getService())
+                                        && o.failureDomain().equals(order.getFailureDomain()))
+                .isPresent();
+    }
+
     private void confirmAndCall(Work work, OutsideCall call) {
         work.mCalling = true;
         long term = mLog.status().term();
@@ -286,6 +320,8 @@
 
     private void onAnswer(Work work, OutsideCall call, OutsideAnswer answer) {
         work.mCalling = false;
+        boolean unsettled = answer == OutsideAnswer.UNKNOWN || answer == OutsideAnswer.REJECTED;
+        work.mUnsettled = unsettled ? Optional.of(call) : Optional.empty();
         mPacing.onAnswer(call.duty(), answer, mLoop.nowNanos(), mRandom.nextDouble());
         mMetrics.countEvent(
                 "outside_call_"
