End attempts of a router whose abort the HTTP client loses

Cause: the HTTP client marks an exchange as completed at the end of each 103 and as pending again just after; an abort between the two is lost. The connection was then read on and the attempt never ended (EndlessAttemptTest#informationalAnswersWithoutEnd, KNOWN-RED). After an abort the client may also pass a 103 on as the head of the answer, which the router reported as an answer to another attempt.

Change: OpenAttempts keeps the attempts that have not ended. Half a second apart it looks for those whose abort is a second old, closes their connection and ends them, once (event abort_lost). An informational head aborts the attempt.

Ruled out as lost aborts: attempts of a probe that were told of their end but whose server saw no end of a connection; they had ended before anything was sent (taken from the order of events, not traced).

--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -53,11 +53,13 @@
     private final HttpClient mClient;
     private final EventLoop mLoop;
     private final Duration mRequestTimeout;
+    private final OpenAttempts mOpenAttempts;
     private final AtomicLong mConnectionTag = new AtomicLong();
 
     BackendClient(HttpClient client, EventLoop loop, Duration requestTimeout) {
         mClient = client;
         mLoop = loop;
+        mOpenAttempts = new OpenAttempts(loop);
         mRequestTimeout = requestTimeout;
     }
 
@@ -106,8 +108,12 @@
         AtomicReference<Response> foreignHead = new AtomicReference<>();
         outgoing.onResponseHeaders(r -> forwardHead(listener, r, id, foreignHead));
         outgoing.onResponseContentAsync((r, c, more) -> forwardContent(listener, r, c, more));
+        OpenAttempts.OpenAttempt open = mOpenAttempts.add(outgoing, listener);
         outgoing.send(
                 result -> {
+                    if (!open.end()) {
+                        return;
+                    }
                     if (foreignHead.get() == null) {
                         onResult(listener, result, requestBegun.get());
                     } else {
@@ -129,6 +135,9 @@
             AtomicReference<Response> foreignHead) {
         if (hasSeam(response)) {
             response.abort(new IOException("the head of an answer within another"));
+        } else if (HttpStatus.isInformational(response.getStatus())) {
+            // The client passes these on only after an abort, or if it does not know the status.
+            response.abort(new IOException("informational status " + response.getStatus()));
         } else if (AttemptReceiver.parseAttemptId(response.getHeaders())
                 .filter(attempt::equals)
                 .isEmpty()) {
