Fix no usage window before gateways that report have completed it

A member that had been paused, or became the holder while its gateways were still sending what it had missed, fixed windows that were older than the longest wait at once. Change: a gateway that reports is waited for in any case; only silent ones are given up after the longest wait. After a pause of two seconds a member waits three seconds, as after its start. The age of a window is computed in one place. Result: two new tests of UsageTest, both fail on the old collector; UsageTest and DutyScheduleTest pass.

--- a/src/main/java/org/jacinthwharf/process/duty/DutyDriver.java
+++ b/src/main/java/org/jacinthwharf/process/duty/DutyDriver.java
@@ -1,5 +1,6 @@
 package org.jacinthwharf.process.duty;
 
+import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.collect.Iterables;
 import com.google.common.flogger.FluentLogger;
@@ -195,12 +196,12 @@
                 window.getWindow(),
                 window.getCountsCount(),
                 window.getCountsList().stream().mapToLong(CustomerCount::getRequests).sum(),
-                millisSinceEnd(window));
+                millisSinceEnd(window.getWindow()));
         mMetrics.setUsageWindow("fixed", window.getWindow());
     }
 
-    private long millisSinceEnd(UsageWindow window) {
-        return mUsage.fleetMillis() - (window.getWindow() + 1) * mSettings.usageWindowMillis();
+    private long millisSinceEnd(long window) {
+        return mUsage.fleetMillis() - (window + 1) * mSettings.usageWindowMillis();
     }
 
     private static OutsideCall.Usage call(UsageWindow window, long token) {
@@ -322,11 +323,7 @@
         boolean unsettled = answer == OutsideAnswer.UNKNOWN || answer == OutsideAnswer.REJECTED;
         work.mUnsettled = unsettled ? Optional.of(call) : Optional.empty();
         mPacing.onAnswer(call.duty(), answer, mLoop.nowNanos(), mRandom.nextDouble());
-        mMetrics.countEvent(
-                "outside_call_"
-                        + call.duty().name().toLowerCase()
-                        + "_"
-                        + answer.name().toLowerCase());
+        mMetrics.countEvent(Ascii.toLowerCase("outside_call_" + call.duty() + "_" + answer));
         if (answer != OutsideAnswer.DONE) {
             LOGGER.atInfo().log(
                     "event=outside_call_failed duty=%s token=%d answer=%s call=%s",
@@ -348,7 +345,7 @@
 
     private void recordDelivery(Work work, OutsideCall call) {
         if (call instanceof OutsideCall.Usage u) {
-            long age = mUsage.fleetMillis() - (u.window() + 1) * mSettings.usageWindowMillis();
+            long age = millisSinceEnd(u.window());
             if (age > mSettings.usageDelayMillis()) {
                 mMetrics.countEvent("usage_window_late");
             }
--- a/src/main/java/org/jacinthwharf/process/usage/UsageCollector.java
+++ b/src/main/java/org/jacinthwharf/process/usage/UsageCollector.java
@@ -26,8 +26,14 @@
 public final class UsageCollector implements UsageSource {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** Three reports: after its start, a member has heard of every gateway that it can reach. */
-    private static final long START_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /**
+     * Three reports: within this time after a start or a pause, a member has heard of every gateway
+     * that it can reach, and a gateway that is silent for longer is lost or cut off.
+     */
+    private static final long HEARD_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** Longer than a member without a pause goes without a report or a question of the driver. */
+    private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /**
      * Part of the time in which a report is due for which gateways are waited for that are cut off,
@@ -43,8 +49,9 @@
     private final FleetClock mClock;
     private final EventLoop mLoop;
     private final FleetMetrics mMetrics;
-    private final long mStartNanos;
     private final Map<String, Gateway> mGateways = new HashMap<>();
+    private long mAwakeSinceNanos;
+    private long mActiveNanos;
 
     /** What one gateway incarnation has reported. */
     private static final class Gateway {
@@ -77,11 +84,13 @@
         mClock = clock;
         mLoop = loop;
         mMetrics = metrics;
-        mStartNanos = loop.nowNanos();
+        mAwakeSinceNanos = loop.nowNanos();
+        mActiveNanos = mAwakeSinceNanos;
     }
 
     /** Records a report of a gateway. */
     public void onReport(Hello from, UsageReport report) {
+        noteActivity();
         mClock.onReading(from.getVmId(), report.getWallMillis());
         long now = mLoop.nowNanos();
         String origin = from.getVmId() + "/" + from.getIncarnation();
@@ -158,11 +167,13 @@
 
     @Override
     public Optional<UsageWindow> ready(long nextWindow) {
+        noteActivity();
         long now = mClock.nowMillis();
         // Nothing is known of windows that gateways no longer keep.
         long window = Math.max(nextWindow, windowAt(now) - UsageCounter.KEPT_WINDOWS + 1);
         long end = (window + 1) * mSettings.usageWindowMillis();
-        if (now < end || !isComplete(window) && now < end + maxWaitMillis() || isJustStarted()) {
+        boolean waitsForLost = now < end + maxWaitMillis();
+        if (now < end || isJustAwake() || !isComplete(window, waitsForLost)) {
             return Optional.empty();
         }
         TreeMap<String, Long> sums = new TreeMap<>();
@@ -181,8 +192,15 @@
         return Optional.of(result.build());
     }
 
-    private boolean isComplete(long window) {
-        return mGateways.values().stream().allMatch(g -> g.mCompleteWindow >= window);
+    /**
+     * Returns whether all gateways have completed a window. One that reports is waited for in any
+     * case, since its next report has the counts; others only as long as the report can wait.
+     */
+    private boolean isComplete(long window, boolean waitsForLost) {
+        long now = mLoop.nowNanos();
+        return mGateways.values().stream()
+                .filter(g -> waitsForLost || now - g.mHeardNanos <= HEARD_NANOS)
+                .allMatch(g -> g.mCompleteWindow >= window);
     }
 
     private long maxWaitMillis() {
@@ -190,7 +208,16 @@
     }
 
     /** The gateways have had no time to send what they keep. */
-    private boolean isJustStarted() {
-        return mLoop.nowNanos() - mStartNanos < START_NANOS;
+    private boolean isJustAwake() {
+        return mLoop.nowNanos() - mAwakeSinceNanos < HEARD_NANOS;
+    }
+
+    /** Notices that the process was paused, so that reports may not have arrived. */
+    private void noteActivity() {
+        long now = mLoop.nowNanos();
+        if (now - mActiveNanos > PAUSE_NANOS) {
+            mAwakeSinceNanos = now;
+        }
+        mActiveNanos = now;
     }
 }
--- a/src/test/java/org/jacinthwharf/process/usage/UsageTest.java
+++ b/src/test/java/org/jacinthwharf/process/usage/UsageTest.java
@@ -111,7 +111,17 @@
                                 TreeMap::new));
     }
 
+    /** Lets time pass while the driver of a holder asks for the next window now and then. */
     private void pass(long millis) {
+        long end = mLoop.mMillis + millis;
+        while (mLoop.mMillis < end) {
+            mLoop.mMillis = Math.min(end, mLoop.mMillis + 500);
+            mCollector.ready(mNextWindow);
+        }
+    }
+
+    /** Lets time pass while the member is paused. */
+    private void pause(long millis) {
         mLoop.mMillis += millis;
     }
 
@@ -200,6 +210,40 @@
         assertThat(ready()).containsExactly("x", 9L);
     }
 
+    /** A member that was paused would fix what it missed without the counts of that time. */
+    @Test
+    void membersThatWerePausedWaitForReports() {
+        Gateway a = new Gateway(1, 1);
+        a.count("x", 3);
+        a.report();
+        a.count("x", 4);
+        pause(20_000);
+        assertThat(mCollector.ready(mNextWindow)).isEqualTo(Optional.empty());
+        pass(1_000);
+        a.report();
+        assertThat(mCollector.ready(mNextWindow)).isEqualTo(Optional.empty());
+        pass(2_100);
+        a.report();
+        assertThat(ready()).containsExactly("x", 7L);
+    }
+
+    /** The window of a gateway that is slow to report must not be fixed without its counts. */
+    @Test
+    void gatewaysThatReportAreWaitedForBeyondTheLimit() {
+        Gateway a = new Gateway(1, 1);
+        pass(4_000);
+        a.count("x", 3);
+        a.report();
+        pass(900);
+        a.report();
+        a.count("x", 4);
+        mCollector.onReport(a.mHello, UsageReport.newBuilder().setSequence(100).build());
+        pass(5_100);
+        mCollector.onReport(a.mHello, UsageReport.newBuilder().setSequence(101).build());
+        pass(1_000);
+        assertThat(mCollector.ready(mNextWindow)).isEqualTo(Optional.empty());
+    }
+
     /** A member that takes over would fix windows without the counts that others had. */
     @Test
     void restartedMembersGetAllThatIsKept() {
