--- a/src/test/java/org/jacinthwharf/process/usage/UsageTest.java
+++ b/src/test/java/org/jacinthwharf/process/usage/UsageTest.java
@@ -95,6 +95,13 @@
                 .build();
     }
 
+    private UsageReport reportWithoutCounts(long sequence) {
+        return UsageReport.newBuilder()
+                .setSequence(sequence)
+                .setWallMillis(mLoop.nowMillis())
+                .build();
+    }
+
     private Map<String, Long> ready() {
         Optional<UsageWindow> ready = mCollector.ready(mNextWindow);
         assertWithMessage("window %s is ready", mNextWindow).that(ready.isPresent()).isTrue();
@@ -237,9 +244,9 @@
         pass(900);
         a.report();
         a.count("x", 4);
-        mCollector.onReport(a.mHello, UsageReport.newBuilder().setSequence(100).build());
+        mCollector.onReport(a.mHello, reportWithoutCounts(100));
         pass(5_100);
-        mCollector.onReport(a.mHello, UsageReport.newBuilder().setSequence(101).build());
+        mCollector.onReport(a.mHello, reportWithoutCounts(101));
         pass(1_000);
         assertThat(mCollector.ready(mNextWindow)).isEqualTo(Optional.empty());
     }
