--- a/src/main/java/org/jacinthwharf/process/duty/DutyDriver.java
+++ b/src/main/java/org/jacinthwharf/process/duty/DutyDriver.java
@@ -360,7 +360,7 @@
                             .orElse(CapacityOrder.getDefaultInstance());
             LOGGER.atInfo().log(
                     "event=capacity_ordered service=%s failure_domain=%s servers=%d token=%d"
-                            + " reason='%s'",
+                            + " reason=%s",
                     LogText.of(c.service()),
                     LogText.of(c.failureDomain()),
                     c.servers(),
