--- a/review/src-2/Fleet.java
+++ b/review/src-2/Fleet.java
@@ -120,6 +120,21 @@
             mRecord.line("machine %s is killed", mName);
         }
 
+        /** Sends SIGSTOP. */
+        void freeze() throws IOException, InterruptedException {
+            signal("STOP");
+        }
+
+        /** Sends SIGCONT. */
+        void thaw() throws IOException, InterruptedException {
+            signal("CONT");
+        }
+
+        private void signal(String name) throws IOException, InterruptedException {
+            new ProcessBuilder("bash", "-c", "kill -" + name + " " + mProcess.pid()).start().waitFor();
+            mRecord.line("machine %s gets SIG%s", mName, name);
+        }
+
         /** Gives the machine an empty disk; its process must not run. */
         synchronized void loseDisk() {
             mDisks++;
--- a/review/src-2/Replica.java
+++ b/review/src-2/Replica.java
@@ -41,6 +41,7 @@
     private final Set<Socket> mOpen = ConcurrentHashMap.newKeySet();
     private final Random mRandom = new Random();
     private volatile String mState = "ready";
+    private volatile long mColdUntilNanos = System.nanoTime();
     private volatile boolean mEnded;
     private volatile boolean mSilent;
     private int mSequence;
@@ -90,6 +91,17 @@
         return mServer.getInetAddress().getHostAddress() + ":" + mServer.getLocalPort();
     }
 
+    private long coldLeftMillis() {
+        return Math.max(0, (mColdUntilNanos - System.nanoTime()) / 1_000_000);
+    }
+
+    /** Makes the replica cold for a time, and reports it at once. */
+    void becomeCold(long millis) throws InterruptedException {
+        mColdUntilNanos = System.nanoTime() + millis * 1_000_000;
+        boolean acknowledged = sendBeat();
+        mRecord.line("replica %s is cold for %d ms, acknowledged %b", mId, millis, acknowledged);
+    }
+
     /** Reports that the replica leaves, serves on for a time, and ends. */
     void drain(long drainMillis) {
         daemon(
@@ -127,8 +139,8 @@
         mSequence++;
         return String.format(
                 "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\","
-                        + "\"slots\":%d,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":%d,\"born\":%d}",
-                mService, address(), mZone, mVersion, mSlots, mState, mSequence, mBorn);
+                        + "\"slots\":%d,\"state\":\"%s\",\"coldLeftMs\":%d,\"seq\":%d,\"born\":%d}",
+                mService, address(), mZone, mVersion, mSlots, mState, coldLeftMillis(), mSequence, mBorn);
     }
 
     /** Sends a heartbeat now that arrives late; the returned task delivers it. */
--- a/review/src-2/ReviewCase.java
+++ b/review/src-2/ReviewCase.java
@@ -115,12 +115,18 @@
 
     /** A desired state with one route to one plain service. */
     static String desiredState(long version, String kind, int attempts, int timeoutMillis) {
+        return desiredState(version, kind, attempts, timeoutMillis, 0, 0);
+    }
+
+    /** A desired state whose service takes few requests while a server is cold. */
+    static String desiredState(
+            long version, String kind, int attempts, int timeoutMillis, double coldSeconds, double coldRate) {
         return "{\"version\":" + version
                 + ",\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":\"/a/\",\"kind\":\"" + kind
                 + "\",\"timeoutMs\":" + timeoutMillis + ",\"sloMs\":400,\"priority\":1,\"service\":\"desk\","
                 + "\"attempts\":" + attempts + ",\"anonymous\":false,\"sticky\":false,\"resumable\":false}],"
                 + "\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":100,\"proto\":\"h1\","
-                + "\"tls\":false,\"coldStartS\":0.0,\"coldPerS\":0.0}],"
+                + "\"tls\":false,\"coldStartS\":" + coldSeconds + ",\"coldPerS\":" + coldRate + "}],"
                 + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
                 + "\"idleTimeoutMs\":15000},"
                 + "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"key1\"],\"priority\":1}]}";
