--- a/review/src-2/RolledBackVersion.java
+++ b/review/src-2/RolledBackVersion.java
@@ -8,7 +8,7 @@
  */
 final class RolledBackVersion {
     private static final int RAMP_SECONDS = 12;
-    private static final double PER_SECOND = 250;
+    private static final double PER_SECOND = 400;
     private static final double FAILED_PART = 0.10;
 
     /** Servers of a version that was rolled back drain some seconds later. */
