--- a/review/src-2/SlowVersion.java
+++ b/review/src-2/SlowVersion.java
@@ -8,7 +8,7 @@
     private static final double PER_SECOND = 250;
     private static final double SLOW_PART = 0.4;
     private static final int TIMES_AS_SLOW = 8;
-    private static final RolloutFleet.Service SERVICE = new RolloutFleet.Service("non_idempotent", 200, 50, 1_500);
+    private static final RolloutFleet.Service SERVICE = new RolloutFleet.Service("non_idempotent", 200, 64, 1_500);
 
     private SlowVersion() {}
 
