Refuse answers whose status line HTTP does not allow

What callers saw: a server's answer with status 000 reached them as "HTTP/1.1 0 OK" with the server's body, on routes of each kind (MIXED). So did statuses of fewer or more than three digits, with a sign, below 100 or above 599, other protocol names and versions, and control bytes in the reason phrase.

Cause: Netty's decoder takes any number for a status, any word for a version and any white space for a separator, and nothing between it and ServerAnswer said what a valid status line is. The duties' calls to the platform are read by the same decoder: "HTTP/1.1 0200" was taken for "done". In the older router, Jetty accepts HTTP/2.0 and statuses above 599.

Ruled out: a check of decoded heads. "+200", "0200" and a tab for a space are gone after decoding. A check of raw bytes before the decoder does not know where the next head begins after an answer to another request.

Change: StrictHttpClientCodec decodes as Netty's client codec does, and also keeps the bytes of each head; HeadSyntax (no network) checks them against RFC 9112, section 4, wherever a head comes: first, after an informational one, or after the answer to another request. The head then fails like one that cannot be decoded: an error of that server, tried again where the route allows it, 502 otherwise. Empty lines before a head stay allowed. The router checks what Jetty lets through. New metric event: malformed_answer.

--- /dev/null
+++ b/src/main/java/org/jacinthwharf/connection/HeadSyntax.java
@@ -0,0 +1,44 @@
+package org.jacinthwharf.connection;
+
+import com.google.common.base.Splitter;
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.jacinthwharf.id.LogText;
+
+/**
+ * The syntax of the head of an answer (RFC 9112, sections 4 and 5).
+ *
+ * <p>Stateless and thread-safe. The decoder that it is used with accepts more: any number as a
+ * status, and names that end at white space. What it decodes no longer shows the difference.
+ */
+final class HeadSyntax {
+    private static final Splitter LINES = Splitter.on('\n');
+
+    /** Status codes outside 100 to 599 are invalid (RFC 9110, section 15). */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?: [\\t\\x20-\\x7e\\x80-\\xff]*+)?");
+
+    private HeadSyntax() {}
+
+    /**
+     * Returns what is wrong with a head, if anything.
+     *
+     * @param head all bytes of the head, each as a character; empty lines may precede it
+     */
+    static Optional<String> findDefect(String head) {
+        Iterator<String> lines = LINES.split(head).iterator();
+        String statusLine = withoutCarriageReturn(lines.next());
+        while (statusLine.isEmpty() && lines.hasNext()) {
+            statusLine = withoutCarriageReturn(lines.next());
+        }
+        if (!STATUS_LINE.matcher(statusLine).matches()) {
+            return Optional.of("malformed status line " + LogText.of(statusLine));
+        }
+        return Optional.empty();
+    }
+
+    private static String withoutCarriageReturn(String line) {
+        return line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
+    }
+}
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -157,6 +157,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+                mPool.countEvent("malformed_answer");
                 onBroken("malformed answer: " + object.decoderResult().cause());
             } else {
                 if (message instanceof HttpResponse head) {
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -13,7 +13,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -23,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jacinthwharf.connection.ServerAddress;
+import org.jacinthwharf.connection.StrictHttpClientCodec;
 import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
@@ -266,12 +266,11 @@
                 });
     }
 
-    private static HttpClientCodec codec() {
-        HttpDecoderConfig config =
+    private static StrictHttpClientCodec codec() {
+        return new StrictHttpClientCodec(
                 new HttpDecoderConfig()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setMaxChunkSize(MAX_CHUNK_BYTES);
-        return new HttpClientCodec(config, false, false);
+                        .setMaxChunkSize(MAX_CHUNK_BYTES));
     }
 
     void addIdle(ServerConnection connection) {
--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -23,6 +23,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Promise;
 import org.jacinthwharf.connection.HeadSeam;
@@ -48,6 +49,9 @@
      */
     static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(130);
 
+    /** Larger status codes are invalid (RFC 9110, section 15). */
+    private static final int MAX_STATUS = 599;
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final HttpClient mClient;
@@ -135,6 +139,13 @@
             AtomicReference<Response> foreignHead) {
         if (hasSeam(response)) {
             response.abort(new IOException("the head of an answer within another"));
+        } else if (!hasValidStatusLine(response)) {
+            response.abort(
+                    new IOException(
+                            "malformed status line: "
+                                    + response.getVersion()
+                                    + " "
+                                    + response.getStatus()));
         } else if (HttpStatus.isInformational(response.getStatus())) {
             // The client passes these on only after an abort, or if it does not know the status.
             response.abort(new IOException("informational status " + response.getStatus()));
@@ -155,6 +166,13 @@
                                 h -> HeadSeam.isIn(h.getName(), Strings.nullToEmpty(h.getValue())));
     }
 
+    /** Returns whether a status line is one of RFC 9112; the client accepts other ones, too. */
+    private static boolean hasValidStatusLine(Response response) {
+        HttpVersion version = response.getVersion();
+        return (version == HttpVersion.HTTP_1_1 || version == HttpVersion.HTTP_1_0)
+                && response.getStatus() <= MAX_STATUS;
+    }
+
     private static void acceptHead(AttemptListener listener, Response response) {
         if (listener.isFinished()) {
             return;
--- /dev/null
+++ b/src/test/java/org/jacinthwharf/connection/HeadSyntaxTest.java
@@ -0,0 +1,57 @@
+package org.jacinthwharf.connection;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a malformed head that is taken for an answer, and a sound one that is refused. */
+final class HeadSyntaxTest {
+    private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK",
+                "HTTP/1.0 404 Not Found",
+                "HTTP/1.1 599 ",
+                "HTTP/1.1 100",
+                "HTTP/1.1 299 Of n\u00f6 name\t!"
+            })
+    void statusLinesOfTheProtocolAreSound(String line) {
+        assertThat(HeadSyntax.findDefect(line + "\r\n\r\n")).isEmpty();
+        assertThat(HeadSyntax.findDefect(line + "\n\n")).isEmpty();
+        assertThat(HeadSyntax.findDefect("\r\n\r\n" + line + "\r\n\r\n")).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "OK",
+                "HTTP/1.1",
+                "HTTP/1.1 OK",
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 099 OK",
+                "HTTP/1.1 20 OK",
+                "HTTP/1.1 2000 OK",
+                "HTTP/1.1 600 OK",
+                "HTTP/1.1 +20 OK",
+                "HTTP/1.1 200OK",
+                "HTTP/1.1 200\tOK",
+                "HTTP/1.1  200 OK",
+                "HTTP/1.1\t200 OK",
+                "HTTP/1.1 200 O\u0000K",
+                "HTTP/1.1 200 O\u007fK",
+                "HTTP/1.1 200 O\rK",
+                "HTTP/2 200 OK",
+                "HTTP/1.2 200 OK",
+                "http/1.1 200 OK",
+                "ICY 200 OK",
+                " HTTP/1.1 200 OK",
+                "\u0001HTTP/1.1 200 OK"
+            })
+    void otherStatusLinesAreMalformed(String line) {
+        assertThat(HeadSyntax.findDefect(line + "\r\n\r\n")).isPresent();
+    }
+}
