Refuse answers with a malformed field line in their head

What callers saw: an answer in whose head the name of a field held a blank or a tab reached them with the name cut there ("X A: b" as "X: b"). A cut name was taken for the name before the blank, the length, the transfer coding and Connection included, so "Content-Length x: 3" gave a body of three bytes, and "Transfer-Encoding x: chunked" an answer that was never complete (504). A control byte before the name was dropped and the line passed on. A line with a blank before its name was taken for the rest of the value before it.

Change: HeadSyntax checks each field line (RFC 9112, section 5) where it checks the status line. White space before the colon is refused, where section 5.1 has a proxy remove it: the issue counts such a name as broken, the answer to it is 502 or another attempt, and no sound server sends it. Lines that continue the one before are refused as section 5.2 allows.

Malformed trailers (24 cases) reached no caller before either: they are never passed on.

--- a/src/main/java/org/jacinthwharf/connection/HeadSyntax.java
+++ b/src/main/java/org/jacinthwharf/connection/HeadSyntax.java
@@ -19,6 +19,13 @@
     private static final Pattern STATUS_LINE =
             Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?: [\\t\\x20-\\x7e\\x80-\\xff]*+)?");
 
+    /**
+     * White space before the colon, and lines that continue the one before, are refused where a
+     * proxy may also mend them: the lenient decoder would take part of a name for another one.
+     */
+    private static final Pattern FIELD_LINE =
+            Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]++:[\\t\\x20-\\x7e\\x80-\\xff]*+");
+
     private HeadSyntax() {}
 
     /**
@@ -35,6 +42,15 @@
         if (!STATUS_LINE.matcher(statusLine).matches()) {
             return Optional.of("malformed status line " + LogText.of(statusLine));
         }
+        while (lines.hasNext()) {
+            String line = withoutCarriageReturn(lines.next());
+            if (line.isEmpty()) {
+                break;
+            }
+            if (!FIELD_LINE.matcher(line).matches()) {
+                return Optional.of("malformed field line " + LogText.of(line));
+            }
+        }
         return Optional.empty();
     }
 
--- a/src/test/java/org/jacinthwharf/cli/ControlClientTest.java
+++ b/src/test/java/org/jacinthwharf/cli/ControlClientTest.java
@@ -41,7 +41,10 @@
     @ValueSource(
             strings = {
                 "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nhi",
-                "HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nhi"
+                "HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nhi",
+                "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nhi",
+                "HTTP/1.1 200 OK\r\nX\u0001A: b\r\nContent-Length: 2\r\n\r\nhi",
+                "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhi"
             })
     void malformedHeadsAreNoAnswers(String answer) throws Exception {
         ControlClient.Result result = callWith(answer);
--- a/src/test/java/org/jacinthwharf/connection/HeadSyntaxTest.java
+++ b/src/test/java/org/jacinthwharf/connection/HeadSyntaxTest.java
@@ -2,12 +2,16 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a malformed head that is taken for an answer, and a sound one that is refused. */
 final class HeadSyntaxTest {
-    private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
+    private static Optional<String> findDefectInField(String line) {
+        return HeadSyntax.findDefect("HTTP/1.1 200 OK\r\nA: b\r\n" + line + "\r\n\r\n");
+    }
 
     @ParameterizedTest
     @ValueSource(
@@ -54,4 +58,49 @@
     void otherStatusLinesAreMalformed(String line) {
         assertThat(HeadSyntax.findDefect(line + "\r\n\r\n")).isPresent();
     }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X-A: b",
+                "X-A:b",
+                "X-A:",
+                "X-A: \t b\tc \t",
+                "X-A: b: c",
+                "X-A: n\u00f6",
+                "!#$%&'*+.^_`|~-Name0: b"
+            })
+    void fieldLinesOfTheProtocolAreSound(String line) {
+        assertThat(findDefectInField(line)).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X A: b",
+                "X\tA: b",
+                "X-A : b",
+                " X-A: b",
+                "\tb",
+                "X\u0000A: b",
+                "X\u001fA: b",
+                "X\u007fA: b",
+                "X\u00f6A: b",
+                "X\rA: b",
+                "X,A: b",
+                ": b",
+                "X-A",
+                "X-A: b\u0000",
+                "X-A: b\u007f",
+                "X-A: b\rc"
+            })
+    void otherFieldLinesAreMalformed(String line) {
+        assertThat(findDefectInField(line)).isPresent();
+    }
+
+    // Guards against a line that ends the head for one reader only.
+    @Test
+    void linesAfterTheEndOfTheHeadAreNotChecked() {
+        assertThat(HeadSyntax.findDefect("HTTP/1.1 200 OK\r\n\r\nX A")).isEmpty();
+    }
 }
--- a/src/test/java/org/jacinthwharf/process/router/MalformedHeadAttemptTest.java
+++ b/src/test/java/org/jacinthwharf/process/router/MalformedHeadAttemptTest.java
@@ -75,6 +75,23 @@
         assertRefused(answer(line, ""));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X A: b\r\n",
+                "X\tA: b\r\n",
+                "X-A : b\r\n",
+                " X-A: b\r\n",
+                "X\u0001A: b\r\n",
+                "X\u007fA: b\r\n",
+                ": b\r\n",
+                "X-A\r\n",
+                "Transfer-Encoding x: chunked\r\n"
+            })
+    void malformedFieldLinesAreRefused(String field) throws Exception {
+        assertRefused(answer("HTTP/1.1 200 OK", field));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 200 OK"})
     void soundHeadsAreAccepted(String line) throws Exception {
