Refuse answers in transfer codings that are not decoded

What callers saw: an answer with "Transfer-Encoding: gzip, chunked" reached them as an unchanged body, though its bytes are the coded ones (a body that was not the server's).

Cause: the decoder undoes the chunked coding and leaves the others, and the field is removed since it is of one connection only (HopByHopHeaders), so nothing tells the caller of the other coding. Jetty, in the older router, does the same. With an unknown coding alone the answer was awaited until its connection closed (504).

Change: HeadSyntax.isDecodable accepts chunked alone (RFC 9112, section 6.1); the codec and the router fail the head otherwise. The gateway sends no TE field, so a sound server has no reason to use another coding.

--- a/src/main/java/org/jacinthwharf/connection/HeadSyntax.java
+++ b/src/main/java/org/jacinthwharf/connection/HeadSyntax.java
@@ -1,18 +1,20 @@
 package org.jacinthwharf.connection;
 
+import com.google.common.base.Ascii;
 import com.google.common.base.Splitter;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
 import org.jacinthwharf.id.LogText;
 
 /**
- * The syntax of the head of an answer (RFC 9112, sections 4 and 5).
+ * What the head of an answer may be (RFC 9112, sections 4 to 6).
  *
  * <p>Stateless and thread-safe. The decoder that it is used with accepts more: any number as a
  * status, and names that end at white space. What it decodes no longer shows the difference.
  */
-final class HeadSyntax {
+public final class HeadSyntax {
     private static final Splitter LINES = Splitter.on('\n');
 
     /** Status codes outside 100 to 599 are invalid (RFC 9110, section 15). */
@@ -54,6 +56,18 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns whether a body in these transfer codings can be decoded. A coding is of one
+     * connection only, so a body in any other one cannot be passed on.
+     *
+     * @param fieldValues values of all {@code Transfer-Encoding} fields of an answer
+     */
+    public static boolean isDecodable(List<String> fieldValues) {
+        return fieldValues.isEmpty()
+                || (fieldValues.size() == 1
+                        && Ascii.equalsIgnoreCase(fieldValues.get(0).trim(), "chunked"));
+    }
+
     private static String withoutCarriageReturn(String line) {
         return line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
     }
--- a/src/main/java/org/jacinthwharf/connection/StrictHttpClientCodec.java
+++ b/src/main/java/org/jacinthwharf/connection/StrictHttpClientCodec.java
@@ -5,6 +5,7 @@
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -17,13 +18,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import org.jacinthwharf.id.LogText;
 
 /**
  * Encodes requests and decodes answers, as Netty's own client codec does, but decodes no answer
- * whose head is malformed.
+ * whose head is malformed or names a transfer coding other than chunked.
  *
- * <p>Used on the event loop of its channel only. Invariants: the decoder result of a malformed
- * head, informational ones included, is a failure; at most one request is in flight.
+ * <p>Used on the event loop of its channel only. Invariants: the decoder result of such a head,
+ * informational ones included, is a failure; at most one request is in flight.
  */
 public final class StrictHttpClientCodec
         extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
@@ -82,7 +84,7 @@
             if (message instanceof HttpResponse head) {
                 mInHead = false;
                 if (head.decoderResult().isSuccess()) {
-                    findDefect()
+                    findDefect(head)
                             .map(IllegalArgumentException::new)
                             .ifPresent(e -> head.setDecoderResult(DecoderResult.failure(e)));
                 }
@@ -93,8 +95,11 @@
             }
         }
 
-        private Optional<String> findDefect() {
-            return HeadSyntax.findDefect(mHead.toString());
+        private Optional<String> findDefect(HttpResponse head) {
+            List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+            return HeadSyntax.isDecodable(codings)
+                    ? HeadSyntax.findDefect(mHead.toString())
+                    : Optional.of("unknown transfer codings " + LogText.of(codings.toString()));
         }
 
         // Answers without a body, see RFC 9112, section 6.3.
--- a/src/main/java/org/jacinthwharf/process/router/BackendClient.java
+++ b/src/main/java/org/jacinthwharf/process/router/BackendClient.java
@@ -27,6 +27,7 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Promise;
 import org.jacinthwharf.connection.HeadSeam;
+import org.jacinthwharf.connection.HeadSyntax;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.request.outcome.AttemptId;
 
@@ -146,6 +147,9 @@
                                     + response.getVersion()
                                     + " "
                                     + response.getStatus()));
+        } else if (!HeadSyntax.isDecodable(
+                response.getHeaders().getValuesList(HttpHeader.TRANSFER_ENCODING))) {
+            response.abort(new IOException("unknown transfer codings"));
         } else if (HttpStatus.isInformational(response.getStatus())) {
             // The client passes these on only after an abort, or if it does not know the status.
             response.abort(new IOException("informational status " + response.getStatus()));
--- a/src/test/java/org/jacinthwharf/connection/HeadSyntaxTest.java
+++ b/src/test/java/org/jacinthwharf/connection/HeadSyntaxTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -103,4 +104,15 @@
     void linesAfterTheEndOfTheHeadAreNotChecked() {
         assertThat(HeadSyntax.findDefect("HTTP/1.1 200 OK\r\n\r\nX A")).isEmpty();
     }
+
+    @Test
+    void onlyTheChunkedCodingIsDecodable() {
+        assertThat(HeadSyntax.isDecodable(List.of())).isTrue();
+        assertThat(HeadSyntax.isDecodable(List.of("chunked"))).isTrue();
+        assertThat(HeadSyntax.isDecodable(List.of("Chunked "))).isTrue();
+        for (String other : List.of("", "gzip", "gzip, chunked", "chunked, chunked", "xchunked")) {
+            assertThat(HeadSyntax.isDecodable(List.of(other))).isFalse();
+        }
+        assertThat(HeadSyntax.isDecodable(List.of("gzip", "chunked"))).isFalse();
+    }
 }
--- a/src/test/java/org/jacinthwharf/process/router/MalformedHeadAttemptTest.java
+++ b/src/test/java/org/jacinthwharf/process/router/MalformedHeadAttemptTest.java
@@ -92,6 +92,18 @@
         assertRefused(answer("HTTP/1.1 200 OK", field));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"gzip, chunked", "chunked, gzip", "chunked, chunked", "chunkedx", "x", ""})
+    void otherTransferCodingsAreRefused(String codings) throws Exception {
+        String field = "Transfer-Encoding: " + codings + "\r\n";
+        String coded = answer("HTTP/1.1 200 OK", field);
+        assertRefused(coded);
+        assertRefused(
+                coded.replace("Content-Length: 5\r\n", "")
+                        .replace("first", "5\r\nfirst\r\n0\r\n\r\n"));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 200 OK"})
     void soundHeadsAreAccepted(String line) throws Exception {
