Refuse a part of an answer whose connection was reset after its close

What callers saw: a server answered a long upload at once with a 200 without length, sent a part of the body and closed with the upload unread. Callers got that part as a complete answer, on routes of each kind, first and kept connections, uploads of 64 KB and 1 MB.

Cause: a close with unread bytes may end the server's output in order (Java does so) and then reset the connection. The end of the input ended the answer, and the reset after it is not reported by reads. What made 4 MB safe was an accident of the order of two events: the end of the input closed the channel, and the pending write failed before the decoder ended the answer.

Ruled out: waiting for the write. Up to 1 MB fits into the buffers of the system, so the gateway has written everything. Looking at once: the reset comes after the end of the input.

Change: the gateway's side of a connection to a server stays open when the server closes its side, until the new connection that tells a crash from a close (CrashCheck, 10 ms later) is accepted; then ResetAwareChannel tells whether a reset followed, by an operation that a connected channel is selected for only if it has an error. If so, the answer is lost like one whose server crashed. An answer that only the close ends, before the whole request is written, is broken explicitly. A server that leaves the request unread and closes may lose the end of its answer anyway (RFC 9112, section 9.6).

--- a/src/main/java/org/jacinthwharf/process/gateway/Attempt.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/Attempt.java
@@ -50,6 +50,14 @@
         return mExchange != null && mExchange.isWritten();
     }
 
+    /**
+     * Closes the connection of an answer that ended with it; returns whether the server has closed
+     * it in order.
+     */
+    boolean closeInOrder() {
+        return mExchange.closeInOrder();
+    }
+
     void setReading(boolean reading) {
         if (mExchange != null) {
             mExchange.setReading(reading);
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -500,10 +500,10 @@
     }
 
     /**
-     * Ends an answer that ended with its connection, unless its server has crashed: the operating
-     * system closes the connections of a crashed process in the same way. An answer whose server
-     * cannot be reached counts as cut, since a caller can repeat a failure, but not detect a
-     * truncated success.
+     * Ends an answer that ended with its connection, unless its server has crashed, since the
+     * operating system closes the connections of a crashed process in the same way, or has reset it
+     * right after the close. An answer whose server cannot be reached counts as cut, since a caller
+     * can repeat a failure, but not detect a truncated success.
      */
     private void checkEndByClose() {
         Placement placement = mPlacement;
@@ -521,10 +521,10 @@
         }
         if (mEnded) {
             releasePlacement(Optional.empty());
-        } else if (result == CrashCheck.Result.ACCEPTED) {
+        } else if (result == CrashCheck.Result.ACCEPTED && mAttempt.closeInOrder()) {
             onComplete();
         } else {
-            onConnectionLost("closed by the server, new connection " + result.code(), check);
+            onConnectionLost("cut off by the server, new connection " + result.code(), check);
         }
     }
 
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -2,11 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -17,7 +17,9 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.connection.HeadSeam;
+import org.jacinthwharf.connection.ResetAwareChannel;
 import org.jacinthwharf.connection.ServerAddress;
 import org.jacinthwharf.id.RequestId;
 
@@ -28,8 +30,9 @@
  * after the end of its answer, belongs to no request, and the connection is closed; the connection
  * is offered for reuse only after all data that was read together with the end of an answer has
  * been processed; it carries no id twice, and none after {@link CarriedIds#MAX_IDS}; a head that
- * another one runs into is no answer; a server that sends {@link #MAX_FRAMING_BYTES} without a head
- * or a part of a body is disconnected.
+ * another one runs into is no answer; the end of the connection ends no answer before the whole
+ * request is written; a server that sends {@link #MAX_FRAMING_BYTES} without a head or a part of a
+ * body is disconnected.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -40,12 +43,15 @@
      */
     static final int MAX_FRAMING_BYTES = 256 << 10;
 
+    /** Longer than a {@link CrashCheck}, also if the event loop is held up. */
+    private static final int MAX_LINGER_MS = 5_000;
+
     private final ServerPool mPool;
     private final ServerAddress mAddress;
     private final CarriedIds mCarried = new CarriedIds();
     private long mFramingBytes;
     private long mRequests;
-    private Channel mChannel;
+    private ResetAwareChannel mChannel;
     private ExchangeListener mListener;
     private boolean mBusy;
     private boolean mDiscarding;
@@ -58,6 +64,10 @@
     private boolean mRequestWritten;
     private boolean mReusable = true;
     private boolean mFailed;
+
+    /** Whether the server has closed the connection, which ended the answer. */
+    private boolean mEndedByClose;
+
     private long mIdleLimitNanos;
     private long mIdleSinceNanos;
 
@@ -71,7 +81,7 @@
         return mAddress;
     }
 
-    void setChannel(Channel channel) {
+    void setChannel(ResetAwareChannel channel) {
         mChannel = channel;
     }
 
@@ -105,8 +115,8 @@
     }
 
     private ConnectionUse use() {
-        int port = mChannel.localAddress() instanceof InetSocketAddress local ? local.getPort() : 0;
-        return new ConnectionUse(port, mRequests);
+        InetSocketAddress local = mChannel.localAddress();
+        return new ConnectionUse(local == null ? 0 : local.getPort(), mRequests);
     }
 
     /**
@@ -243,7 +253,9 @@
             mFramingBytes = 0;
             mListener.onBody(content.content());
         }
-        if (last && mHeadSeen) {
+        if (last && mHeadSeen && mChannel.isInputShutdown() && !mRequestWritten) {
+            onBroken("closed by the server before it had the whole request");
+        } else if (last && mHeadSeen) {
             mAnswered = true;
             ExchangeListener listener = mListener;
             mListener = null;
@@ -258,7 +270,11 @@
         if (mListener != null) {
             mListener.onReadComplete();
         }
-        if (mBusy && mAnswered) {
+        if (mBusy && mAnswered && mChannel.isInputShutdown()) {
+            mBusy = false;
+            mEndedByClose = true;
+            mChannel.eventLoop().schedule(this::close, MAX_LINGER_MS, TimeUnit.MILLISECONDS);
+        } else if (mBusy && mAnswered) {
             mBusy = false;
             // A server that answers before it has received the whole request may never read the
             // rest.
@@ -278,6 +294,23 @@
         onBroken(cause.toString());
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !mEndedByClose) {
+            onBroken("closed by the server");
+        }
+    }
+
+    /**
+     * Closes a connection whose server has closed it, which ended the answer; returns whether it
+     * was not reset as well.
+     */
+    boolean closeInOrder() {
+        boolean inOrder = mChannel.isActive() && !mChannel.isReset();
+        mChannel.close();
+        return inOrder;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         onBroken("closed by the server");
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -10,8 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.util.ArrayDeque;
@@ -21,6 +19,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.jacinthwharf.connection.ResetAwareChannel;
 import org.jacinthwharf.connection.ServerAddress;
 import org.jacinthwharf.connection.StrictHttpClientCodec;
 import org.jacinthwharf.id.RequestId;
@@ -119,6 +118,11 @@
             return mWrite != null && mWrite.isSuccess();
         }
 
+        /** See {@link ServerConnection#closeInOrder}. */
+        boolean closeInOrder() {
+            return mConnection.closeInOrder();
+        }
+
         /** Builds and writes the request, unless it must not be sent any more. */
         private void write(
                 ServerConnection connection,
@@ -234,15 +238,16 @@
         ChannelFuture connecting =
                 new Bootstrap()
                         .group(mGroup)
-                        .channel(NioSocketChannel.class)
+                        .channel(ResetAwareChannel.class)
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.SO_KEEPALIVE, true)
                         .option(ChannelOption.RECVBUF_ALLOCATOR, READS)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                         .handler(
-                                new ChannelInitializer<SocketChannel>() {
+                                new ChannelInitializer<ResetAwareChannel>() {
                                     @Override
-                                    protected void initChannel(SocketChannel channel) {
+                                    protected void initChannel(ResetAwareChannel channel) {
                                         connection.setChannel(channel);
                                         channel.pipeline()
                                                 .addLast(new AnswerBytes(connection))
