--- a/src/test/java/org/jacinthwharf/process/router/AnswerEndsWithConnectionTest.java
+++ b/src/test/java/org/jacinthwharf/process/router/AnswerEndsWithConnectionTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jacinthwharf.request.outcome.AttemptEvent;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -23,6 +24,8 @@
     /** What a server does after it has sent its answer. */
     private enum Finish {
         CLOSE,
+        /** A close before the whole request is read, which is followed by a reset. */
+        CLOSE_UNREAD,
         RESET,
         CRASH
     }
@@ -30,7 +33,8 @@
     /** Serves one connection. A crash closes all sockets of the server in order. */
     private static void answerOnce(ServerSocket server, String answer, Finish finish) {
         try (Socket socket = server.accept()) {
-            if (socket.getInputStream().read(new byte[8 << 10]) > 0) {
+            int length = finish == Finish.CLOSE_UNREAD ? 1 : 8 << 10;
+            if (socket.getInputStream().read(new byte[length]) > 0) {
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
                 if (finish == Finish.RESET) {
                     socket.setSoLinger(true, 0);
@@ -71,6 +75,12 @@
                 .isInstanceOf(AttemptEvent.ConnectionClosed.class);
     }
 
+    @RepeatedTest(20)
+    void plainAnswerToRequestThatIsNotReadIsNotWhole() throws Exception {
+        assertThat(endOf(false, HEAD + "\r\nthe answer", Finish.CLOSE_UNREAD).event())
+                .isInstanceOf(AttemptEvent.ConnectionClosed.class);
+    }
+
     @Test
     void plainAnswerOfServerThatCrashesIsNotWhole() throws Exception {
         assertThat(endOf(false, HEAD + "\r\nthe ans", Finish.CRASH).event())
