--- a/src/main/java/org/jacinthwharf/connection/HeadSyntax.java
+++ b/src/main/java/org/jacinthwharf/connection/HeadSyntax.java
@@ -1,6 +1,7 @@
 package org.jacinthwharf.connection;
 
 import com.google.common.base.Ascii;
+import com.google.common.base.CharMatcher;
 import com.google.common.base.Splitter;
 import java.util.Iterator;
 import java.util.List;
@@ -21,12 +22,20 @@
     private static final Pattern STATUS_LINE =
             Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?: [\\t\\x20-\\x7e\\x80-\\xff]*+)?");
 
-    /**
-     * White space before the colon, and lines that continue the one before, are refused where a
-     * proxy may also mend them: the lenient decoder would take part of a name for another one.
-     */
-    private static final Pattern FIELD_LINE =
-            Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]++:[\\t\\x20-\\x7e\\x80-\\xff]*+");
+    /** Characters of a token (RFC 9110, section 5.6.2). */
+    private static final CharMatcher TOKEN =
+            CharMatcher.inRange('a', 'z')
+                    .or(CharMatcher.inRange('A', 'Z'))
+                    .or(CharMatcher.inRange('0', '9'))
+                    .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"))
+                    .precomputed();
+
+    /** Characters of a field's value, white space included (RFC 9110, section 5.5). */
+    private static final CharMatcher VALUE =
+            CharMatcher.inRange(' ', '~')
+                    .or(CharMatcher.is('\t'))
+                    .or(CharMatcher.inRange('\u0080', '\u00ff'))
+                    .precomputed();
 
     private HeadSyntax() {}
 
@@ -49,13 +58,24 @@
             if (line.isEmpty()) {
                 break;
             }
-            if (!FIELD_LINE.matcher(line).matches()) {
+            if (!isFieldLine(line)) {
                 return Optional.of("malformed field line " + LogText.of(line));
             }
         }
         return Optional.empty();
     }
 
+    /**
+     * White space before the colon, and lines that continue the one before, are refused where a
+     * proxy may also mend them: the lenient decoder would take part of a name for another one.
+     */
+    private static boolean isFieldLine(String line) {
+        int colon = line.indexOf(':');
+        return colon > 0
+                && TOKEN.matchesAllOf(line.substring(0, colon))
+                && VALUE.matchesAllOf(line.substring(colon + 1));
+    }
+
     /**
      * Returns whether a body in these transfer codings can be decoded. A coding is of one
      * connection only, so a body in any other one cannot be passed on.
