Name the end of an exchange that ends with its connection

No change of behaviour: the end of an answer and the close of its connection are methods of their own, and tryCloseInOrder says that it may fail. EarlyAnswerTest, CutAnswerTest, SecondAnswerTest, CrashBetweenEventsTest and four more pass.

--- a/src/main/java/org/jacinthwharf/process/gateway/Attempt.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/Attempt.java
@@ -50,12 +50,9 @@
         return mExchange != null && mExchange.isWritten();
     }
 
-    /**
-     * Closes the connection of an answer that ended with it; returns whether the server has closed
-     * it in order.
-     */
-    boolean closeInOrder() {
-        return mExchange.closeInOrder();
+    /** See {@link ServerConnection#tryCloseInOrder}. */
+    boolean tryCloseInOrder() {
+        return mExchange.tryCloseInOrder();
     }
 
     void setReading(boolean reading) {
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -521,7 +521,7 @@
         }
         if (mEnded) {
             releasePlacement(Optional.empty());
-        } else if (result == CrashCheck.Result.ACCEPTED && mAttempt.closeInOrder()) {
+        } else if (result == CrashCheck.Result.ACCEPTED && mAttempt.tryCloseInOrder()) {
             onComplete();
         } else {
             onConnectionLost("cut off by the server, new connection " + result.code(), check);
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerConnection.java
@@ -43,7 +43,10 @@
      */
     static final int MAX_FRAMING_BYTES = 256 << 10;
 
-    /** Longer than a {@link CrashCheck}, also if the event loop is held up. */
+    /**
+     * Maximum time for which a connection stays open after its server has closed it, which ended an
+     * answer; longer than a {@link CrashCheck}, also if the event loop is held up.
+     */
     private static final int MAX_LINGER_MS = 5_000;
 
     private final ServerPool mPool;
@@ -253,15 +256,21 @@
             mFramingBytes = 0;
             mListener.onBody(content.content());
         }
-        if (last && mHeadSeen && mChannel.isInputShutdown() && !mRequestWritten) {
+        if (last && mHeadSeen) {
+            onAnswerEnd();
+        }
+    }
+
+    private void onAnswerEnd() {
+        if (mChannel.isInputShutdown() && !mRequestWritten) {
             onBroken("closed by the server before it had the whole request");
-        } else if (last && mHeadSeen) {
-            mAnswered = true;
-            ExchangeListener listener = mListener;
-            mListener = null;
-            if (listener != null) {
-                listener.onEnd(ExchangeListener.ExchangeEnd.COMPLETE, "");
-            }
+            return;
+        }
+        mAnswered = true;
+        ExchangeListener listener = mListener;
+        mListener = null;
+        if (listener != null) {
+            listener.onEnd(ExchangeListener.ExchangeEnd.COMPLETE, "");
         }
     }
 
@@ -270,12 +279,13 @@
         if (mListener != null) {
             mListener.onReadComplete();
         }
-        if (mBusy && mAnswered && mChannel.isInputShutdown()) {
-            mBusy = false;
-            mEndedByClose = true;
-            mChannel.eventLoop().schedule(this::close, MAX_LINGER_MS, TimeUnit.MILLISECONDS);
-        } else if (mBusy && mAnswered) {
+        if (mBusy && mAnswered) {
             mBusy = false;
+            if (mChannel.isInputShutdown()) {
+                mEndedByClose = true;
+                mChannel.eventLoop().schedule(this::close, MAX_LINGER_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
             // A server that answers before it has received the whole request may never read the
             // rest.
             if (mReusable && mRequestWritten && !mCarried.isFull() && mChannel.isActive()) {
@@ -302,10 +312,11 @@
     }
 
     /**
-     * Closes a connection whose server has closed it, which ended the answer; returns whether it
-     * was not reset as well.
+     * Closes a connection whose server has closed it, which ended an answer.
+     *
+     * @return false if the server has reset it after that, so the answer may be a part only
      */
-    boolean closeInOrder() {
+    boolean tryCloseInOrder() {
         boolean inOrder = mChannel.isActive() && !mChannel.isReset();
         mChannel.close();
         return inOrder;
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerPool.java
@@ -118,9 +118,9 @@
             return mWrite != null && mWrite.isSuccess();
         }
 
-        /** See {@link ServerConnection#closeInOrder}. */
-        boolean closeInOrder() {
-            return mConnection.closeInOrder();
+        /** See {@link ServerConnection#tryCloseInOrder}. */
+        boolean tryCloseInOrder() {
+            return mConnection.tryCloseInOrder();
         }
 
         /** Builds and writes the request, unless it must not be sent any more. */
