Let a control member leave its group before its process ends

From then on Config.Get got 503 everywhere and no change was acknowledged, for good.

Cause: the successor joins as a fourth voter. The process that was stopped closed its links and log and stayed a voter for 4 s, until its silence was noticed. With it and the wiped machine, whose new identity has no vote, two of four votes were left, and only a leader changes the members. Ruled out: counting the wiped machine in its old seat (it has forgotten its votes), a lower majority, a shorter time of silence for all (frozen and cut off members would be removed).

Change: on SIGTERM a member hands leadership over, asks the leader to remove it and ends when that is committed, within half of the grace time; a group of three never shrinks, so a restart leaves the voters as they are. Related path: a process that was killed refuses connections, which counts as lost after 0.5 s while more than three voters are left.

--- a/src/main/java/org/jacinthwharf/connection/Links.java
+++ b/src/main/java/org/jacinthwharf/connection/Links.java
@@ -137,6 +137,20 @@
      * @param wanted evaluated before each connection attempt
      */
     public void keepOpen(InetSocketAddress address, LinkListener listener, BooleanSupplier wanted) {
+        keepOpen(address, listener, wanted, () -> {});
+    }
+
+    /**
+     * Keeps a link to {@code address} open while {@code wanted} returns true.
+     *
+     * @param wanted evaluated before each connection attempt
+     * @param onRefused called on the event loop each time that the VM refuses the connection
+     */
+    public void keepOpen(
+            InetSocketAddress address,
+            LinkListener listener,
+            BooleanSupplier wanted,
+            Runnable onRefused) {
         if (mClosed || !wanted.getAsBoolean()) {
             return;
         }
@@ -149,23 +163,25 @@
                         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, SEND_BUFFER)
                         .handler(new PipelineInitializer(listener))
                         .connect(address);
+        connecting.addListener(
+                f -> {
+                    if (f.cause() != null && ConnectFailures.isRefusal(f.cause())) {
+                        mLoop.execute(onRefused);
+                    }
+                });
         connecting
                 .channel()
                 .closeFuture()
                 .addListener(
                         f -> {
                             LOGGER.atFine().log("event=link_closed address=%s", address);
-                            reconnectLater(address, listener, wanted);
+                            reconnectLater(() -> keepOpen(address, listener, wanted, onRefused));
                         });
     }
 
-    private void reconnectLater(
-            InetSocketAddress address, LinkListener listener, BooleanSupplier wanted) {
+    private void reconnectLater(Runnable connect) {
         if (!mClosed && !mGroup.isShuttingDown()) {
-            mGroup.schedule(
-                    () -> keepOpen(address, listener, wanted),
-                    RECONNECT_DELAY.toMillis(),
-                    TimeUnit.MILLISECONDS);
+            mGroup.schedule(connect, RECONNECT_DELAY.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/org/jacinthwharf/process/assembly/ControlAssembly.java
+++ b/src/main/java/org/jacinthwharf/process/assembly/ControlAssembly.java
@@ -8,10 +8,12 @@
 import java.util.Comparator;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.jacinthwharf.connection.Link;
 import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.consensus.LeaveOutcome;
 import org.jacinthwharf.process.consensus.RaftNode;
 import org.jacinthwharf.process.consensus.RaftSettings;
 import org.jacinthwharf.process.consensus.RaftStorage;
@@ -152,6 +154,16 @@
             node.receive(message);
         }
 
+        @Override
+        public void onRefused(VmId vm) {
+            node.onRefused(vm);
+        }
+
+        @Override
+        public CompletableFuture<LeaveOutcome> leave(Duration limit) {
+            return node.leave(limit);
+        }
+
         @Override
         public void close() {
             node.stop();
--- a/src/main/java/org/jacinthwharf/process/consensus/Election.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/Election.java
@@ -18,8 +18,8 @@
     private final boolean mFounding;
     private final Set<MemberId> mVoters = new HashSet<>();
 
-    Election(boolean preVote, boolean founding) {
-        mPreVote = preVote;
+    Election(Campaign campaign, boolean founding) {
+        mPreVote = campaign == Campaign.PRE_VOTE;
         mFounding = founding;
     }
 
--- a/src/main/java/org/jacinthwharf/process/consensus/Leadership.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/Leadership.java
@@ -93,6 +93,24 @@
         return mPeers.get(member);
     }
 
+    /** Records that a VM refused a connection. */
+    void recordRefusal(String vm) {
+        mPeers.forEach(
+                (m, p) -> {
+                    if (m.getVmId().equals(vm)) {
+                        p.recordRefusal();
+                    }
+                });
+    }
+
+    /** Returns the members but this one that have synced the whole log and are reachable. */
+    List<MemberId> upToDateMembers(long nowNanos) {
+        return mLog.members().stream()
+                .filter(m -> mPeers.containsKey(m) && mPeers.get(m).isReachable(nowNanos))
+                .filter(m -> mPeers.get(m).matchIndex() == mLog.lastIndex())
+                .toList();
+    }
+
     void addLearner(MemberId learner, long nowNanos) {
         if (mLearners.add(learner)) {
             mPeers.put(learner, new Progress(mLog.lastIndex() + 1, nowNanos));
--- a/src/main/java/org/jacinthwharf/process/consensus/PendingEffects.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/PendingEffects.java
@@ -12,8 +12,11 @@
 import org.jacinthwharf.wire.generated.RaftAppend;
 import org.jacinthwharf.wire.generated.RaftAppendReply;
 import org.jacinthwharf.wire.generated.RaftJoin;
+import org.jacinthwharf.wire.generated.RaftLeave;
+import org.jacinthwharf.wire.generated.RaftLeaveReply;
 import org.jacinthwharf.wire.generated.RaftSnapshot;
 import org.jacinthwharf.wire.generated.RaftSnapshotReply;
+import org.jacinthwharf.wire.generated.RaftTimeoutNow;
 import org.jacinthwharf.wire.generated.RaftVoteReply;
 import org.jacinthwharf.wire.generated.RaftVoteRequest;
 
@@ -86,6 +89,12 @@
             e.setRaftVoteRequest(m);
         } else if (payload instanceof RaftVoteReply m) {
             e.setRaftVoteReply(m);
+        } else if (payload instanceof RaftLeave m) {
+            e.setRaftLeave(m);
+        } else if (payload instanceof RaftLeaveReply m) {
+            e.setRaftLeaveReply(m);
+        } else if (payload instanceof RaftTimeoutNow m) {
+            e.setRaftTimeoutNow(m);
         } else {
             e.setRaftJoin((RaftJoin) payload);
         }
--- a/src/main/java/org/jacinthwharf/process/consensus/Progress.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/Progress.java
@@ -13,6 +13,7 @@
     private long mMatchIndex;
     private long mNextIndex;
     private long mLastReceivedNanos;
+    private boolean mRefusedSinceContact;
     private long mAckedRound;
     private long mSnapshotSentNanos;
     private long mSnapshotSentIndex;
@@ -43,6 +44,22 @@
         return nowNanos - mLastReceivedNanos;
     }
 
+    /**
+     * Returns whether the peer counts as lost: it has been silent for long, or its VM refuses
+     * connections, so that its process has ended.
+     */
+    boolean isLost(long nowNanos) {
+        return nanosSinceContact(nowNanos)
+                > (mRefusedSinceContact
+                        ? RaftTimings.REFUSED_REMOVAL_TIMEOUT_NANOS
+                        : RaftTimings.REMOVAL_TIMEOUT_NANOS);
+    }
+
+    /** Records that the peer's VM refused a connection. */
+    void recordRefusal() {
+        mRefusedSinceContact = true;
+    }
+
     boolean maySendEntries() {
         return mNextIndex - mMatchIndex <= MAX_IN_FLIGHT_ENTRIES;
     }
@@ -66,6 +83,7 @@
 
     void recordContact(long round, long nowNanos) {
         mLastReceivedNanos = nowNanos;
+        mRefusedSinceContact = false;
         mAckedRound = Math.max(mAckedRound, round);
     }
 
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftCore.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftCore.java
@@ -15,8 +15,11 @@
 import org.jacinthwharf.wire.generated.RaftAppend;
 import org.jacinthwharf.wire.generated.RaftAppendReply;
 import org.jacinthwharf.wire.generated.RaftJoin;
+import org.jacinthwharf.wire.generated.RaftLeave;
+import org.jacinthwharf.wire.generated.RaftLeaveReply;
 import org.jacinthwharf.wire.generated.RaftSnapshot;
 import org.jacinthwharf.wire.generated.RaftSnapshotReply;
+import org.jacinthwharf.wire.generated.RaftTimeoutNow;
 import org.jacinthwharf.wire.generated.RaftVoteReply;
 import org.jacinthwharf.wire.generated.RaftVoteRequest;
 
@@ -45,6 +48,7 @@
     private Optional<Long> mLeaderContactNanos = Optional.empty();
     private Optional<Election> mElection = Optional.empty();
     private Optional<Leadership> mLeadership = Optional.empty();
+    private Optional<Departure> mDeparture = Optional.empty();
     private long mElectionDeadlineNanos;
     private long mNextJoinNanos;
     private long mCommitIndex;
@@ -107,20 +111,62 @@
     void tick(long nowNanos) {
         if (mLeadership.isPresent()) {
             tickAsLeader(mLeadership.get(), nowNanos);
-        } else if (nowNanos >= mElectionDeadlineNanos
-                && !mWrites.isFailing()
-                && (isMember() || mayFound())) {
-            campaign(true, nowNanos);
+        } else if (nowNanos >= mElectionDeadlineNanos && mayCampaign()) {
+            campaign(Campaign.PRE_VOTE, nowNanos);
         }
-        if (!isLeader() && !isMember() && nowNanos >= mNextJoinNanos) {
+        if (mDeparture.isPresent()) {
+            mDeparture
+                    .filter(d -> d.startRequest(nowNanos))
+                    .ifPresent(d -> continueDeparture(d, nowNanos));
+        } else if (!isLeader() && !isMember() && nowNanos >= mNextJoinNanos) {
             mNextJoinNanos = nowNanos + RaftTimings.JOIN_INTERVAL_NANOS;
             RaftJoin join = RaftJoin.newBuilder().setMember(mSelf).build();
-            mSettings
-                    .peerVms(mLog.members())
-                    .forEach(vm -> mEffects.addMessage(RaftMessages.anyIdentityOn(vm), join));
+            sendToPeers(join);
         }
     }
 
+    private void sendToPeers(Message payload) {
+        mSettings
+                .peerVms(mLog.members())
+                .forEach(vm -> mEffects.addMessage(RaftMessages.anyIdentityOn(vm), payload));
+    }
+
+    /**
+     * Starts to leave the group, before the process ends: the member hands over leadership, and
+     * neither campaigns nor joins any more.
+     */
+    void leave(long nowNanos, long deadlineNanos) {
+        mDeparture = Optional.of(new Departure(nowNanos, deadlineNanos));
+    }
+
+    /** Returns how the departure ended, or empty before. */
+    Optional<LeaveOutcome> leaveOutcome() {
+        return mDeparture.flatMap(Departure::outcome);
+    }
+
+    private void continueDeparture(Departure departure, long nowNanos) {
+        boolean mayBeReplaced = mLog.members().size() > 1 && isMember();
+        boolean mayShrink = mLog.members().size() > MembershipChanges.MIN_MEMBERS;
+        if (!mayBeReplaced || (leader().isEmpty() && !mayShrink)) {
+            // Alone, a learner, or in a group of the smallest size that may be without a majority.
+            departure.end(LeaveOutcome.STAYS);
+        } else if (mLeadership.isPresent()) {
+            mMembershipChanges
+                    .nextLeader(mLeadership.get(), nowNanos)
+                    .ifPresent(m -> mEffects.addMessage(m, RaftMessages.timeoutNow(mSelf, term())));
+        } else {
+            mLeader.filter(l -> isLeaderReachable(nowNanos))
+                    .ifPresentOrElse(
+                            l -> mEffects.addMessage(l, RaftMessages.leave(mSelf)),
+                            () -> sendToPeers(RaftMessages.leave(mSelf)));
+        }
+    }
+
+    /** Records that a VM refused a connection, so that no member runs on it. */
+    void onRefused(VmId vm) {
+        mLeadership.ifPresent(l -> l.recordRefusal(vm.value()));
+    }
+
     /** Appends a command and returns its index, or empty if this member is not the leader. */
     OptionalLong propose(ByteString command, long nowNanos) {
         stepDownWithoutQuorum(nowNanos);
@@ -193,10 +239,34 @@
                 onReply(m.getTerm(), m.getMember(), l -> l.onSnapshotReply(m, nowNanos), nowNanos);
             }
             case RAFT_JOIN -> onJoin(envelope.getRaftJoin(), nowNanos);
+            case RAFT_LEAVE -> onLeave(envelope.getRaftLeave(), nowNanos);
+            case RAFT_LEAVE_REPLY ->
+                    mDeparture.ifPresent(d -> d.onReply(envelope.getRaftLeaveReply()));
+            case RAFT_TIMEOUT_NOW -> onTimeoutNow(envelope.getRaftTimeoutNow(), nowNanos);
             default -> {}
         }
     }
 
+    /** Answers a request to leave; a member that is not the leader forwards it once. */
+    private void onLeave(RaftLeave leave, long nowNanos) {
+        if (mLeadership.isPresent()) {
+            RaftLeaveReply.Outcome outcome =
+                    mMembershipChanges.leave(mLeadership.get(), leave.getMember(), nowNanos);
+            mEffects.addMessage(leave.getMember(), RaftMessages.leaveReply(outcome));
+        } else if (!leave.getPassedOn()) {
+            mLeader.ifPresent(
+                    l -> mEffects.addMessage(l, leave.toBuilder().setPassedOn(true).build()));
+        }
+    }
+
+    private void onTimeoutNow(RaftTimeoutNow request, long nowNanos) {
+        boolean current =
+                request.getTerm() == term() && mLeader.equals(Optional.of(request.getLeader()));
+        if (current && mayCampaign()) {
+            campaign(Campaign.TRANSFER, nowNanos);
+        }
+    }
+
     /** Handles a request to join; a member that is not the leader forwards it once. */
     private void onJoin(RaftJoin join, long nowNanos) {
         if (mLeadership.isPresent()) {
@@ -240,22 +310,26 @@
         return mLog.members().contains(mSelf);
     }
 
+    private boolean mayCampaign() {
+        return mDeparture.isEmpty() && !mWrites.isFailing() && (isMember() || mayFound());
+    }
+
     private boolean mayFound() {
         return mLog.isEmpty()
                 && mSettings.mayFound()
                 && mSettings.self().equals(mSettings.founder());
     }
 
-    private void campaign(boolean preVote, long nowNanos) {
+    private void campaign(Campaign campaign, long nowNanos) {
         mRole = RaftStatus.Role.CANDIDATE;
         mLeader = Optional.empty();
         mElectionDeadlineNanos = nowNanos + RaftTimings.candidateTimeout(mRandom);
-        mElection = Optional.of(new Election(preVote, mLog.isEmpty()));
-        if (!preVote) {
+        mElection = Optional.of(new Election(campaign, mLog.isEmpty()));
+        if (campaign != Campaign.PRE_VOTE) {
             mVotingState.startCandidacy(mSelf);
         }
-        RaftVoteRequest request =
-                RaftMessages.voteRequest(mSelf, preVote ? term() + 1 : term(), mLog, preVote);
+        long term = campaign == Campaign.PRE_VOTE ? term() + 1 : term();
+        RaftVoteRequest request = RaftMessages.voteRequest(mSelf, term, mLog, campaign);
         for (String vm : mSettings.peerVms(mLog.members())) {
             sendWhenDurable(RaftMessages.anyIdentityOn(vm), request);
         }
@@ -276,7 +350,7 @@
             return;
         }
         if (election.isPreVote()) {
-            campaign(false, nowNanos);
+            campaign(Campaign.VOTE, nowNanos);
             return;
         }
         mRole = RaftStatus.Role.LEADER;
@@ -298,15 +372,12 @@
     }
 
     private void onVoteRequest(RaftVoteRequest r, long nowNanos) {
-        boolean leaderReachable =
-                mLeaderContactNanos
-                        .filter(t -> nowNanos - t < RaftTimings.ELECTION_TIMEOUT_NANOS)
-                        .isPresent();
         if (isLeader() && !mLog.members().contains(r.getCandidate())) {
             // The candidate was removed while it was unreachable.
             mMembershipChanges.join(mLeadership.get(), r.getCandidate(), nowNanos);
         }
-        if (isLeader() || leaderReachable || mWrites.isFailing()) {
+        boolean hasLeader = isLeader() || isLeaderReachable(nowNanos);
+        if ((hasLeader && !r.getLeadershipTransfer()) || mWrites.isFailing()) {
             // A member that was partitioned must not disrupt a group with a leader. A member that
             // cannot store its vote does not even grant a pre-vote, which would start elections
             // that nobody wins.
@@ -332,6 +403,12 @@
         sendWhenDurable(r.getCandidate(), reply.setGranted(granted).setTerm(term()).build());
     }
 
+    private boolean isLeaderReachable(long nowNanos) {
+        return mLeaderContactNanos
+                .filter(t -> nowNanos - t < RaftTimings.ELECTION_TIMEOUT_NANOS)
+                .isPresent();
+    }
+
     private void onVoteReply(RaftVoteReply r, long nowNanos) {
         if (r.getTerm() > term() && !(r.getPreVote() && r.getGranted())) {
             becomeFollower(r.getTerm(), Optional.empty(), nowNanos);
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftNode.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftNode.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
+import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.wire.generated.Envelope;
 import org.jacinthwharf.wire.generated.LogEntry;
@@ -51,6 +52,7 @@
     private long mAppliedIndex;
     private long mBytesSinceSnapshot;
     private long mNextReadId;
+    private Optional<CompletableFuture<LeaveOutcome>> mLeave = Optional.empty();
     private boolean mStopped;
     private boolean mProcessingEffects;
     private String mLoggedState = "";
@@ -103,6 +105,28 @@
         mLoop.scheduleRepeatedly(TICK_INTERVAL, this::tick);
     }
 
+    /**
+     * Starts to leave the group, before {@link #stop}; the member participates meanwhile.
+     *
+     * @param limit time after which the departure is given up
+     * @return completes when this member may stop
+     */
+    public CompletableFuture<LeaveOutcome> leave(Duration limit) {
+        long now = mLoop.nowNanos();
+        mCore.leave(now, now + limit.toNanos());
+        CompletableFuture<LeaveOutcome> result = new CompletableFuture<>();
+        mLeave = Optional.of(result);
+        tick();
+        return result;
+    }
+
+    /** Records that a VM refused a connection, so that no member runs on it. */
+    public void onRefused(VmId vm) {
+        if (!mStopped) {
+            mCore.onRefused(vm);
+        }
+    }
+
     /** Stops participating; pending proposals end as unknown. The storage stays open. */
     public void stop() {
         mStopped = true;
@@ -174,6 +198,7 @@
                 endPendingCalls();
             }
             logStateChange();
+            mCore.leaveOutcome().ifPresent(o -> mLeave.ifPresent(l -> l.complete(o)));
         } finally {
             mProcessingEffects = false;
         }
--- a/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
+++ b/src/main/java/org/jacinthwharf/process/consensus/RaftTimings.java
@@ -14,9 +14,21 @@
     /** Interval between requests to join the group. */
     static final long JOIN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Interval between requests of a member to leave the group; several round trips. */
+    static final long LEAVE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Time for which a request to leave is valid; several of them may be lost. */
+    static final long LEAVE_VALIDITY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     /** Time without contact after which a member counts as lost; longer than a VM restart. */
     static final long REMOVAL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
 
+    /**
+     * Time without contact after which a member whose VM refuses connections counts as lost; longer
+     * than it takes to reopen a link.
+     */
+    static final long REFUSED_REMOVAL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     /** Time after which an unacknowledged snapshot is sent again. */
     static final long SNAPSHOT_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
--- a/src/main/java/org/jacinthwharf/process/control/ControlGroupLinks.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlGroupLinks.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Collection;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.jacinthwharf.connection.LinkListener;
 import org.jacinthwharf.connection.Links;
 import org.jacinthwharf.id.VmId;
@@ -21,14 +22,21 @@
     private final NodeSettings mSettings;
     private final Links mLinks;
     private final LinkListener mListener;
+    private final Consumer<VmId> mOnRefused;
     private final TreeSet<VmId> mTargets = new TreeSet<>();
     private final TreeSet<VmId> mOpened = new TreeSet<>();
 
-    /** Creates an instance that keeps no links open until targets are set. */
-    public ControlGroupLinks(NodeSettings settings, Links links, LinkListener listener) {
+    /**
+     * Creates an instance that keeps no links open until targets are set.
+     *
+     * @param onRefused receives a VM each time that it refuses a connection
+     */
+    public ControlGroupLinks(
+            NodeSettings settings, Links links, LinkListener listener, Consumer<VmId> onRefused) {
         mSettings = settings;
         mLinks = links;
         mListener = listener;
+        mOnRefused = onRefused;
     }
 
     /** Sets the VMs to keep links to; this VM is ignored. */
@@ -39,7 +47,10 @@
         for (VmId vm : mTargets) {
             if (mOpened.add(vm)) {
                 mLinks.keepOpen(
-                        mSettings.peerOf(vm).toSocketAddress(), mListener, () -> isTarget(vm));
+                        mSettings.peerOf(vm).toSocketAddress(),
+                        mListener,
+                        () -> isTarget(vm),
+                        () -> mOnRefused.accept(vm));
             }
         }
     }
--- a/src/main/java/org/jacinthwharf/process/control/ControlMessageDispatcher.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlMessageDispatcher.java
@@ -94,7 +94,10 @@
                     RAFT_APPEND_REPLY,
                     RAFT_SNAPSHOT,
                     RAFT_SNAPSHOT_REPLY,
-                    RAFT_JOIN ->
+                    RAFT_JOIN,
+                    RAFT_LEAVE,
+                    RAFT_LEAVE_REPLY,
+                    RAFT_TIMEOUT_NOW ->
                     mOpenLog.onMessage(link, message);
             default -> ignoreUnexpected(link, message);
         }
--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -1,5 +1,6 @@
 package org.jacinthwharf.process.control;
 
+import com.google.common.base.Ascii;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.time.Duration;
@@ -19,6 +20,7 @@
 import org.jacinthwharf.connection.LinkListener;
 import org.jacinthwharf.connection.Links;
 import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.consensus.LeaveOutcome;
 import org.jacinthwharf.process.consensus.ReplicatedLog;
 import org.jacinthwharf.process.duty.DutyDriver;
 import org.jacinthwharf.process.duty.OutsideInterface;
@@ -132,7 +134,8 @@
                                         settings.bounds().announceMillis(),
                                         mGateways));
         mDuties = settings.duties().map(d -> newDutyDriver(d, state, outside.apply(d)));
-        mGroupLinks = new ControlGroupLinks(settings, mLinks, new LinkHandler());
+        mGroupLinks =
+                new ControlGroupLinks(settings, mLinks, new LinkHandler(), mOpenLog::onRefused);
         mOperatorEndpoint =
                 new HttpEndpoint(
                         loop.group(),
@@ -237,8 +240,12 @@
         mLoop.execute(() -> mSeeds = settings.seedVms());
     }
 
-    /** Stops the process; the event loop stays open, since the caller owns it. */
+    /**
+     * Leaves the control group and stops the process; the event loop stays open, since the caller
+     * owns it.
+     */
     public void stop() {
+        leaveGroup();
         mOperatorEndpoint.close();
         mLinks.close();
         CompletableFuture.runAsync(mOpenLog::close, mLoop).join();
@@ -246,6 +253,19 @@
         LOGGER.atInfo().log("event=control_member_stopped vm=%s", mSettings.vmId());
     }
 
+    /** Waits until this member has left the group, or until it is not worth waiting. */
+    private void leaveGroup() {
+        // The other half of the grace time is for the end of the process.
+        Duration limit = Duration.ofMillis(mSettings.bounds().stopGraceMillis() / 2);
+        LeaveOutcome outcome =
+                CompletableFuture.supplyAsync(() -> mOpenLog.leave(limit), mLoop)
+                        .thenCompose(leaving -> leaving)
+                        .join();
+        LOGGER.atInfo().log(
+                "event=control_member_leaving vm=%s outcome=%s",
+                mSettings.vmId(), Ascii.toLowerCase(outcome.name()));
+    }
+
     /** Handles directory, load and membership messages, and delegates all others. */
     private final class LinkHandler implements LinkListener {
         @Override
--- a/src/main/java/org/jacinthwharf/process/gateway/ControlLinks.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ControlLinks.java
@@ -47,7 +47,7 @@
     ControlLinks(NodeSettings settings, Links links, Listener listener) {
         mSettings = settings;
         mListener = listener;
-        mMemberLinks = new ControlGroupLinks(settings, links, this);
+        mMemberLinks = new ControlGroupLinks(settings, links, this, refusingVm -> {});
     }
 
     /** Opens links to the seeds. */
--- a/src/main/java/org/jacinthwharf/process/gateway/CrashCheck.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/CrashCheck.java
@@ -5,15 +5,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.ConnectException;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.jacinthwharf.connection.ConnectFailures;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 
@@ -89,8 +88,6 @@
     }
 
     private static Result failure(Throwable cause) {
-        boolean refused =
-                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-        return refused ? Result.REFUSED : Result.TIMED_OUT;
+        return ConnectFailures.isRefusal(cause) ? Result.REFUSED : Result.TIMED_OUT;
     }
 }
--- a/src/test/java/org/jacinthwharf/cli/OperatorCommandTest.java
+++ b/src/test/java/org/jacinthwharf/cli/OperatorCommandTest.java
@@ -7,10 +7,14 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.jacinthwharf.connection.Link;
+import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.FreePorts;
+import org.jacinthwharf.process.consensus.LeaveOutcome;
 import org.jacinthwharf.process.consensus.ReplicatedLog;
 import org.jacinthwharf.process.control.ControlProcess;
 import org.jacinthwharf.process.control.InMemoryClaims;
@@ -156,6 +160,14 @@
         @Override
         public void onMessage(Link from, Envelope message) {}
 
+        @Override
+        public void onRefused(VmId vm) {}
+
+        @Override
+        public CompletableFuture<LeaveOutcome> leave(Duration limit) {
+            return CompletableFuture.completedFuture(LeaveOutcome.STAYS);
+        }
+
         @Override
         public void close() {}
     }
--- a/src/test/java/org/jacinthwharf/process/consensus/SimulatedGroup.java
+++ b/src/test/java/org/jacinthwharf/process/consensus/SimulatedGroup.java
@@ -21,6 +21,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import java.util.stream.Stream;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.wire.generated.Envelope;
@@ -50,7 +51,7 @@
     long mNowNanos;
     int mSent;
 
-    private final ImmutableSortedSet<VmId> mConfigured;
+    private ImmutableSortedSet<VmId> mConfigured;
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::number));
@@ -67,11 +68,7 @@
 
     SimulatedGroup(long seed, String... configured) {
         mRandom = new Random(seed);
-        mConfigured =
-                Arrays.stream(configured)
-                        .map(VmId::of)
-                        .collect(
-                                ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+        setConfigured(Arrays.stream(configured));
         for (String vm : configured) {
             mMembers.put(vm, new Member(vm));
         }
@@ -92,6 +89,19 @@
         return m;
     }
 
+    /** Takes a VM away for good; members that start later are configured with those left. */
+    void remove(String vm) {
+        mMembers.remove(vm).crash();
+        setConfigured(mMembers.keySet().stream().limit(3));
+    }
+
+    private void setConfigured(Stream<String> vms) {
+        mConfigured =
+                vms.map(VmId::of)
+                        .collect(
+                                ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+    }
+
     void at(long nanos, Runnable task) {
         mEvents.add(new Event(nanos, mEventCount++, task));
     }
@@ -183,12 +193,18 @@
         if (isolated || mRandom.nextDouble() < mLoss || !mMembers.containsKey(to.value())) {
             return;
         }
+        if (mMembers.get(to.value()).isRefusing()) {
+            Member sender = mMembers.get(from);
+            sender.later(sender.mIncarnation, 1_000_000, () -> sender.mNode.onRefused(to));
+            return;
+        }
         // Independent delays reorder messages.
         at(
                 mNowNanos + 500_000 + mRandom.nextLong(mMaxDelayNanos),
                 () -> {
                     Member m = mMembers.get(to.value());
-                    if (m.isRunning()
+                    if (m != null
+                            && m.isRunning()
                             && !mIsolated.contains(from)
                             && !mIsolated.contains(to.value())) {
                         m.run(m.mIncarnation, () -> m.mNode.receive(e));
@@ -226,8 +242,11 @@
         int mReplayed;
         boolean mMayFound = true;
         StorageOpenResult mOpenResult;
+        Optional<LeaveOutcome> mLeaveOutcome = Optional.empty();
+        Duration mMaxWriteTime = Duration.ofMillis(8);
         private int mIncarnation;
         private boolean mRunning;
+        private boolean mRefusing;
         private long mSuspendedUntilNanos;
 
         Member(String vm) {
@@ -242,6 +261,11 @@
             return mNode.status();
         }
 
+        /** Returns whether the VM runs without a process, so that it refuses connections. */
+        boolean isRefusing() {
+            return mRefusing && !mRunning;
+        }
+
         void start() {
             try {
                 mOpenResult = RaftStorage.open(mFolder, VmId.of(mVm), () -> "disk" + mDisks++);
@@ -254,6 +278,8 @@
             }
             mIncarnation++;
             mRunning = true;
+            mRefusing = false;
+            mLeaveOutcome = Optional.empty();
             mState = new ArrayList<>();
             mReplayed = 0;
             int incarnation = mIncarnation;
@@ -263,7 +289,11 @@
                             opened.storage(),
                             new CommandList(this),
                             new SimulatedLoop(this, incarnation),
-                            task -> later(incarnation, mRandom.nextLong(8_000_000), task),
+                            task ->
+                                    later(
+                                            incarnation,
+                                            mRandom.nextLong(mMaxWriteTime.toNanos()),
+                                            task),
                             (to, e) -> send(mVm, to, e),
                             mRandom);
             mNode.start();
@@ -276,6 +306,31 @@
             mFolder.losePower();
         }
 
+        /** Kills the process; the VM goes on, and its disk holds what was synced. */
+        void kill() {
+            crash();
+            mRefusing = true;
+        }
+
+        /** Ends the process as planned; it leaves the group first, within {@code limit}. */
+        void terminate(Duration limit) {
+            int incarnation = mIncarnation;
+            run(
+                    incarnation,
+                    () ->
+                            mNode.leave(limit)
+                                    .thenAccept(
+                                            outcome ->
+                                                    later(
+                                                            incarnation,
+                                                            0,
+                                                            () -> {
+                                                                kill();
+                                                                mLeaveOutcome =
+                                                                        Optional.of(outcome);
+                                                            })));
+        }
+
         /** Crashes the member and replaces its disk by an empty one. */
         void loseDisk() {
             crash();
--- a/src/test/java/org/jacinthwharf/process/control/ControlMessageDispatcherTest.java
+++ b/src/test/java/org/jacinthwharf/process/control/ControlMessageDispatcherTest.java
@@ -2,11 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.jacinthwharf.connection.Link;
 import org.jacinthwharf.id.VmId;
+import org.jacinthwharf.process.consensus.LeaveOutcome;
 import org.jacinthwharf.process.consensus.ReplicatedLog;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.wire.generated.ConfigurationPush;
@@ -97,6 +100,14 @@
         @Override
         public void onMessage(Link from, Envelope message) {}
 
+        @Override
+        public void onRefused(VmId vm) {}
+
+        @Override
+        public CompletableFuture<LeaveOutcome> leave(Duration limit) {
+            return CompletableFuture.completedFuture(LeaveOutcome.STAYS);
+        }
+
         @Override
         public void close() {}
     }
