Count attempts without an answer as evidence of their version

Cause: an attempt that was given up at its deadline, left by its caller, cancelled, or answered after the end of its call was inconclusive, so only answers in time were evidence. Ruled out: a passed deadline as an error, since callers leave at the same moment and short deadlines of callers would speak against sound versions.

Change: such an attempt has a latency of at least the time that it has waited (a censored observation). It counts as slow where that is beyond the limit of the slowness test and is left out where it is below, alike for both versions. The wait begins at the send, and leaves out the time in which the event loop was held up; requests that were not written, silent servers, unread answers and a planned stop are no evidence. Also: late answers count with their latency and status, hanging streams by their longest wait, answers from 400 on as errors. The state of an attempt moves from ForwardedCall to Attempt and AttemptTimes.

--- a/src/main/java/org/jacinthwharf/process/gateway/Attempt.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/Attempt.java
@@ -2,7 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import java.util.function.Function;
+import org.jacinthwharf.id.PoolId;
+import org.jacinthwharf.process.moves.EvidenceSink.AttemptResult;
 
 /**
  * One attempt of a call: passes on what its exchange brings for as long as the call goes on with
@@ -14,14 +17,32 @@
  */
 final class Attempt implements ExchangeListener {
     private final ExchangeListener mCall;
+    private final Optional<PoolId> mPool;
+    private final AttemptTimes mTimes;
 
     /** Null until the request is sent. */
     private ServerPool.Exchange mExchange;
 
     private boolean mEnded;
+    private boolean mReading = true;
 
-    Attempt(ExchangeListener call) {
+    /**
+     * Creates an attempt that is not sent yet.
+     *
+     * @param pool the version that it counts for, if any
+     */
+    Attempt(ExchangeListener call, Optional<PoolId> pool, AttemptTimes times) {
         mCall = call;
+        mPool = pool;
+        mTimes = times;
+    }
+
+    Optional<PoolId> pool() {
+        return mPool;
+    }
+
+    AttemptTimes times() {
+        return mTimes;
     }
 
     /** Sends the request by a function that takes the listener of the exchange. */
@@ -50,12 +71,30 @@
         return mExchange != null && mExchange.isWritten();
     }
 
+    /**
+     * Returns what the attempt says about its version if the call gives it up now.
+     *
+     * @param isServerSilent whether the server, or the way to it, may be lost
+     */
+    AttemptResult resultIfGivenUp(boolean isServerSilent) {
+        if (!isWritten() || !mReading || isServerSilent) {
+            return AttemptResult.INCONCLUSIVE;
+        }
+        return mTimes.isAnswered() ? AttemptResult.COMPLETE : AttemptResult.UNANSWERED;
+    }
+
     /** See {@link ServerConnection#tryCloseInOrder}. */
     boolean tryCloseInOrder() {
         return mExchange.tryCloseInOrder();
     }
 
+    /** Returns whether the call takes what the server sends. */
+    boolean isReading() {
+        return mReading;
+    }
+
     void setReading(boolean reading) {
+        mReading = reading;
         if (mExchange != null) {
             mExchange.setReading(reading);
         }
--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -19,6 +19,7 @@
 import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.process.metrics.RefusalReason;
 import org.jacinthwharf.process.metrics.RetryReason;
+import org.jacinthwharf.process.moves.EvidenceSink.AttemptResult;
 import org.jacinthwharf.request.dispatch.BackendServer;
 import org.jacinthwharf.request.dispatch.DispatchRequest;
 import org.jacinthwharf.request.dispatch.Placement;
@@ -72,9 +73,6 @@
     private final StreamRelay mStream;
     private Placement mPlacement;
 
-    /** The version that the current attempt counts for. */
-    private Optional<PoolId> mPool = Optional.empty();
-
     /** Null before the first attempt, and while no attempt is under way. */
     private Attempt mAttempt;
 
@@ -103,10 +101,6 @@
     private boolean mAnswered;
     private boolean mReleased;
     private long mSentNanos;
-
-    /** When the server of the current attempt last sent something, or the attempt began. */
-    private long mHeardNanos;
-
     private long mFirstByteNanos;
     private String mCause = "";
 
@@ -165,7 +159,7 @@
             contain(() -> mContext.cancelWaiting(this));
         }
         contain(this::cancelAttempt);
-        contain(() -> releasePlacement(Optional.empty()));
+        contain(() -> releasePlacement(AttemptResult.INCONCLUSIVE));
         if (!mAnswered) {
             mAnswered = true;
             contain(() -> answerFault(mayHaveRun));
@@ -275,11 +269,13 @@
         mAnswerBegun = false;
         mRelaysEvents = false;
         mSentNanos = now();
-        mHeardNanos = mSentNanos;
         mAnswer = null;
-        mPool = mContext.onAttemptStart(placement.server(), mDispatch);
         ServerAddress address = placement.server().address();
-        mAttempt = new Attempt(this);
+        mAttempt =
+                new Attempt(
+                        this,
+                        mContext.onAttemptStart(placement.server(), mDispatch),
+                        new AttemptTimes(mSentNanos, mContext.loopDelayNanos()));
         mAttempt.send(l -> mContext.pool().send(address, () -> requestToWrite(placement), id, l));
     }
 
@@ -328,7 +324,7 @@
     }
 
     private boolean acceptHead(HttpResponse head, ConnectionUse use) {
-        mHeardNanos = now();
+        onHeard();
         HeaderCodec.AnswerHeaders answerHeaders =
                 mContext.headerCodec().parseAnswerHeaders(head.headers());
         if (answerHeaders
@@ -354,12 +350,19 @@
         if (mFirstByteNanos == 0) {
             mFirstByteNanos = now();
         }
+        if (!isStream()) {
+            mAttempt.times().onAnswer(now());
+        }
         if (!mEnded && mAnswer.isSuccess()) {
             acceptSuccess();
         }
         return true;
     }
 
+    private void onHeard() {
+        mAttempt.times().onHeard(now(), mContext.loopDelayNanos());
+    }
+
     private void acceptSuccess() {
         if (!mAnswer.hasIdAndSeal()) {
             failAttempt(RetryReason.CROSSED_ANSWER, "a success without the server's mark");
@@ -385,7 +388,7 @@
     }
 
     private void acceptBody(ByteBuf data) {
-        mHeardNanos = now();
+        onHeard();
         mContext.activity().onAnswerBytes(data.readableBytes());
         if (mEnded || mAnswer == null) {
             return;
@@ -393,7 +396,8 @@
         if (mRelaysEvents) {
             onStreamData(data);
         } else if (!mAnswer.append(data)) {
-            cancelAttempt();
+            mAttempt.cancel();
+            releasePlacement(AttemptResult.FAILED);
             mMayHaveRun = true;
             mCause = "answer is too large";
             endWithError(RefusalReason.BACKEND_FAILED, 0);
@@ -403,10 +407,12 @@
     private void onStreamData(ByteBuf data) {
         mPlacement.onFirstEvent(now());
         boolean first = !mStream.isStarted();
+        AttemptTimes times = mAttempt.times();
         if (mStream.onData(mAnswer, data)) {
             if (first) {
                 mFirstByteNanos = now();
             }
+            times.onAnswer(now());
             onAnswerBegun();
         }
         mStream.misfit().ifPresent(m -> failAttempt(RetryReason.FOREIGN_EVENT, m));
@@ -458,7 +464,7 @@
             if (end == ExchangeEnd.BROKEN) {
                 recordLost(checkServer());
             }
-            releasePlacement(Optional.empty());
+            endLate(end);
             return;
         }
         switch (end) {
@@ -476,7 +482,7 @@
                 onNotRun(RetryReason.CONNECT_FAILED, cause);
             }
             case NOT_SENT -> {
-                releasePlacement(Optional.empty());
+                releasePlacement(AttemptResult.INCONCLUSIVE);
                 endWithError(RefusalReason.DEADLINE_PASSED, 0);
             }
             case BROKEN -> onConnectionLost(cause);
@@ -484,6 +490,20 @@
         }
     }
 
+    /** Ends an attempt that has outlived its call. */
+    private void endLate(ExchangeEnd end) {
+        if (end == ExchangeEnd.COMPLETE) {
+            releasePlacement(
+                    mAnswer.isNotRun() ? AttemptResult.INCONCLUSIVE : resultOf(mAnswer.status()));
+        } else {
+            giveUpAttempt();
+        }
+    }
+
+    private static AttemptResult resultOf(int status) {
+        return status < 400 ? AttemptResult.COMPLETE : AttemptResult.FAILED;
+    }
+
     /** Returns whether only the close of the connection ended an answer that has a body. */
     private boolean isEndedByClose() {
         return mAnswer.endsWithConnection()
@@ -520,7 +540,7 @@
             return; // The call has given up this attempt.
         }
         if (mEnded) {
-            releasePlacement(Optional.empty());
+            giveUpAttempt();
         } else if (result == CrashCheck.Result.ACCEPTED && mAttempt.tryCloseInOrder()) {
             onComplete();
         } else {
@@ -555,7 +575,7 @@
             return;
         }
         mMayHaveRun = true;
-        releasePlacement(Optional.of(false));
+        releasePlacement(AttemptResult.FAILED);
         suspect.thenAccept(isSuspect -> step(() -> onLossExplained(isSuspect, cause)))
                 .exceptionally(this::logFailedCheck);
     }
@@ -613,7 +633,7 @@
         if (mAnswer.isSuccess()) {
             onAnswerBegun();
         }
-        releasePlacement(Optional.of(true));
+        releasePlacement(resultOf(status));
         if (mStream.isStarted()) {
             end("answered", status, mStream::end);
             return;
@@ -645,7 +665,7 @@
 
     private void onNotRun(RetryReason reason, String cause) {
         mNotRunAttempts++;
-        releasePlacement(Optional.empty());
+        releasePlacement(AttemptResult.INCONCLUSIVE);
         boolean retry =
                 mNotRunAttempts < MAX_NOT_RUN_ATTEMPTS
                         && mStream.isResumable()
@@ -662,7 +682,7 @@
     private void countFailedAttempt() {
         mFailedAttempts++;
         mMayHaveRun = true;
-        releasePlacement(Optional.of(false));
+        releasePlacement(AttemptResult.FAILED);
     }
 
     private void onFailed(RetryReason reason, String cause) {
@@ -798,7 +818,7 @@
         Set<String> excluded = new HashSet<>(mTriedServers);
         excluded.add(mPlacement.server().id());
         boolean leaves =
-                nowNanos - mHeardNanos > ANSWERING_NANOS
+                nowNanos - mAttempt.times().heardNanos() > ANSWERING_NANOS
                         && mContext.hasAvailableServer(mDispatch.service(), excluded)
                         && tryAcquireRetry(mFailedAttempts + 1);
         if (leaves) {
@@ -856,7 +876,7 @@
     private void cancelAttempt() {
         if (mAttempt != null) {
             mAttempt.cancel();
-            releasePlacement(Optional.empty());
+            giveUpAttempt();
         }
     }
 
@@ -869,25 +889,34 @@
         }
     }
 
-    private void releasePlacement(Optional<Boolean> success) {
+    /** Ends the current attempt without an answer that the call takes. */
+    private void giveUpAttempt() {
+        boolean isStopping = mContext.stopNanos() != Long.MAX_VALUE;
+        AttemptResult result =
+                isStopping
+                        ? AttemptResult.INCONCLUSIVE
+                        : mAttempt.resultIfGivenUp(mContext.isSilent(mPlacement.server()));
+        long waited = mAttempt.times().longestWaitNanos(now(), mContext.loopDelayNanos());
+        releasePlacement(result, waited);
+    }
+
+    /** Ends the current attempt with an answer of the server, or with a failure. */
+    private void releasePlacement(AttemptResult result) {
+        if (result != AttemptResult.INCONCLUSIVE && !isStream() && !mEnded) {
+            onBegun(mSentNanos);
+        }
+        releasePlacement(result, mAttempt == null ? 0 : mAttempt.times().latencyNanos(now()));
+    }
+
+    private void releasePlacement(AttemptResult result, long nanos) {
+        Optional<PoolId> pool = mAttempt == null ? Optional.empty() : mAttempt.pool();
         mAttempt = null;
         if (mPlacement != null) {
             Placement placement = mPlacement;
             mPlacement = null;
-            if (success.isPresent() && !isStream()) {
-                onBegun(mSentNanos);
-            }
             mTriedServers.add(placement.server().id());
             placement.end();
-            long measuredNanos =
-                    success.isPresent() && mFirstByteNanos > mSentNanos ? mFirstByteNanos : now();
-            Optional<PoolId> pool = mPool;
-            mPool = Optional.empty();
-            mContext.onAttemptEnd(
-                    pool,
-                    mDispatch,
-                    success,
-                    TimeUnit.NANOSECONDS.toMillis(measuredNanos - mSentNanos));
+            mContext.onAttemptEnd(pool, mDispatch, result, TimeUnit.NANOSECONDS.toMillis(nanos));
             mContext.onCapacityFreed();
         }
     }
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayContext.java
@@ -7,6 +7,7 @@
 import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.process.loop.EventLoop;
 import org.jacinthwharf.process.metrics.FleetMetrics;
+import org.jacinthwharf.process.moves.EvidenceSink.AttemptResult;
 import org.jacinthwharf.request.dispatch.BackendServer;
 import org.jacinthwharf.request.dispatch.DispatchRequest;
 
@@ -26,6 +27,12 @@
 
     CrashCheck crashCheck();
 
+    /** Returns the total time in which the event loop was held up. */
+    long loopDelayNanos();
+
+    /** Returns whether a server has stopped announcing itself. */
+    boolean isSilent(BackendServer server);
+
     /** Returns the memory that all bodies and answers share. */
     BufferBudget bufferBudget();
 
@@ -68,11 +75,10 @@
      * Records the end of an attempt.
      *
      * @param pool what its start returned
-     * @param success empty if the result says nothing about the version: the attempt was cancelled,
-     *     did not run, or ended after its call
+     * @param millis how long the answer took, or how long the attempt waited in vain
      */
     void onAttemptEnd(
-            Optional<PoolId> pool, DispatchRequest request, Optional<Boolean> success, long millis);
+            Optional<PoolId> pool, DispatchRequest request, AttemptResult result, long millis);
 
     /** Returns the service of a customer beyond that of the least served backlogged customer. */
     double leadTokens(CustomerId customer);
--- a/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/GatewayProcess.java
@@ -29,6 +29,7 @@
 import org.jacinthwharf.process.membership.ServerDirectory;
 import org.jacinthwharf.process.metrics.FleetMetrics;
 import org.jacinthwharf.process.metrics.MetricsText;
+import org.jacinthwharf.process.moves.EvidenceSink.AttemptResult;
 import org.jacinthwharf.process.moves.VersionDriver;
 import org.jacinthwharf.process.settings.NodeSettings;
 import org.jacinthwharf.request.admission.ServiceLedger;
@@ -102,7 +103,7 @@
     private final Optional<Metering> mMetering;
     private Channel mListener;
     private boolean mDispatchScheduled;
-    private long mLastTickNanos;
+    private LoopDelay mLoopDelay;
     private volatile boolean mDraining;
     private volatile boolean mRefusing;
     private volatile long mStopNanos = Long.MAX_VALUE;
@@ -228,7 +229,7 @@
             mMetricsEndpoint.listen(mSettings.listen().metrics().get().toSocketAddress());
         }
         mLoop.execute(mControlLinks::open);
-        mLastTickNanos = mLoop.nowNanos();
+        mLoopDelay = new LoopDelay(TICK, mLoop.nowNanos());
         mLoop.scheduleRepeatedly(TICK, this::tick);
         mLoop.scheduleRepeatedly(OUTLIER_TICK, () -> mDispatcher.ejectOutliers(mLoop.nowNanos()));
         mLoop.scheduleRepeatedly(MAINTENANCE_TICK, this::tickMaintenance);
@@ -295,10 +296,9 @@
 
     private void tickCalls() {
         long now = mLoop.nowNanos();
-        long loopDelay = Math.max(0, now - mLastTickNanos - TICK.toNanos());
+        long loopDelay = mLoopDelay.onTick(now);
         mActivity.onLoopDelay(loopDelay);
         mLoadShedder.onLoopDelay(loopDelay);
-        mLastTickNanos = now;
         for (ForwardedCall call : ImmutableList.copyOf(mCalls)) {
             boolean silent = call.server().filter(s -> mHealth.isSilent(s, now)).isPresent();
             call.tick(now, silent);
@@ -452,6 +452,16 @@
         return mCrashCheck;
     }
 
+    @Override
+    public long loopDelayNanos() {
+        return mLoopDelay.totalNanos(mLoop.nowNanos());
+    }
+
+    @Override
+    public boolean isSilent(BackendServer server) {
+        return mHealth.isSilent(server, mLoop.nowNanos());
+    }
+
     @Override
     public BufferBudget bufferBudget() {
         return mBufferBudget;
@@ -553,11 +563,8 @@
 
     @Override
     public void onAttemptEnd(
-            Optional<PoolId> pool,
-            DispatchRequest request,
-            Optional<Boolean> success,
-            long millis) {
-        mVersionSelector.onAttemptEnd(pool, request, success, millis);
+            Optional<PoolId> pool, DispatchRequest request, AttemptResult result, long millis) {
+        mVersionSelector.onAttemptEnd(pool, request, result, millis);
     }
 
     @Override
--- a/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
@@ -11,7 +11,7 @@
 import org.jacinthwharf.id.PoolId;
 import org.jacinthwharf.id.RequestId;
 import org.jacinthwharf.id.VersionId;
-import org.jacinthwharf.process.moves.EvidenceSink;
+import org.jacinthwharf.process.moves.EvidenceSink.AttemptResult;
 import org.jacinthwharf.process.moves.VersionDriver;
 import org.jacinthwharf.request.dispatch.BackendServer;
 import org.jacinthwharf.request.dispatch.DispatchRequest;
@@ -135,17 +135,7 @@
      *     may count for another version now
      */
     void onAttemptEnd(
-            Optional<PoolId> pool,
-            DispatchRequest request,
-            Optional<Boolean> success,
-            long millis) {
-        EvidenceSink.AttemptResult result =
-                success.map(
-                                g ->
-                                        g
-                                                ? EvidenceSink.AttemptResult.COMPLETE
-                                                : EvidenceSink.AttemptResult.FAILED)
-                        .orElse(EvidenceSink.AttemptResult.INCONCLUSIVE);
+            Optional<PoolId> pool, DispatchRequest request, AttemptResult result, long millis) {
         pool.ifPresent(p -> mDriver.onEnd(p, request.route(), result, millis));
     }
 
--- a/src/main/java/org/jacinthwharf/process/moves/EvidenceSink.java
+++ b/src/main/java/org/jacinthwharf/process/moves/EvidenceSink.java
@@ -7,7 +7,11 @@
     /** Records that an attempt was sent. */
     void onStart(PoolId pool, String route);
 
-    /** Records that an attempt ended {@code millis} milliseconds after it was sent. */
+    /**
+     * Records that an attempt ended.
+     *
+     * @param millis latency of its answer, or for how long it waited in vain
+     */
     void onEnd(PoolId pool, String route, AttemptResult result, long millis);
 
     /** How the result of an attempt counts as evidence about its version. */
@@ -15,8 +19,13 @@
         COMPLETE,
         FAILED,
         /**
-         * The attempt was cancelled or did not run. Routers also report this result for a silent
-         * connection; gateways report {@link #FAILED} for a silent server.
+         * The attempt ended without an answer, for whatever reason: its latency would have been
+         * longer than it waited (a censored observation).
+         */
+        UNANSWERED,
+        /**
+         * The attempt did not run, or its end says nothing about its server. Routers also report
+         * this result for a silent connection; gateways report {@link #FAILED} for a silent server.
          */
         INCONCLUSIVE
     }
--- a/src/main/java/org/jacinthwharf/process/moves/VersionDriver.java
+++ b/src/main/java/org/jacinthwharf/process/moves/VersionDriver.java
@@ -3,6 +3,7 @@
 import com.google.common.math.LongMath;
 import java.math.RoundingMode;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
@@ -61,6 +62,7 @@
     /** Cumulative counts of one route at one version. */
     private static final class RouteCounts {
         final long[] mBuckets = new long[BUCKETS];
+        final long[] mUnansweredBuckets = new long[BUCKETS];
         final Deque<long[]> mRequestsPerSecond = new ArrayDeque<>();
         long mRequests;
         long mErrors;
@@ -191,6 +193,10 @@
         if (result == AttemptResult.INCONCLUSIVE) {
             return;
         }
+        if (result == AttemptResult.UNANSWERED) {
+            counts.mUnansweredBuckets[bucketOf(millis)]++;
+            return;
+        }
         counts.mRequests++;
         if (result == AttemptResult.FAILED) {
             counts.mErrors++;
@@ -252,6 +258,11 @@
         for (long bucket : counts.mBuckets) {
             route.addLatencyBuckets(bucket);
         }
+        if (Arrays.stream(counts.mUnansweredBuckets).anyMatch(n -> n > 0)) {
+            for (long bucket : counts.mUnansweredBuckets) {
+                route.addUnansweredBuckets(bucket);
+            }
+        }
         return route.build();
     }
 }
--- a/src/main/java/org/jacinthwharf/process/router/RequestExecution.java
+++ b/src/main/java/org/jacinthwharf/process/router/RequestExecution.java
@@ -431,6 +431,9 @@
             if (mReceiver != null) {
                 cancelAttempt("caller gone");
             }
+            if (!mStreamStarted && mAttemptResult == AttemptResult.INCONCLUSIVE) {
+                mAttemptResult = AttemptResult.UNANSWERED;
+            }
             releaseSlot();
             mContext.onRequestEnded(this);
         }
--- a/src/main/java/org/jacinthwharf/version/RequestCounts.java
+++ b/src/main/java/org/jacinthwharf/version/RequestCounts.java
@@ -6,6 +6,10 @@
 /**
  * Request and error counts and a latency histogram.
  *
+ * <p>An attempt that ended without an answer after t has a latency of at least t. It counts as slow
+ * where t is beyond the limit in question, and is left out where it is below: it may have been
+ * about to be answered.
+ *
  * <p>Mutable; not thread-safe.
  */
 final class RequestCounts {
@@ -15,15 +19,23 @@
     long mRequests;
     long mErrors;
     final long[] mBuckets = new long[BUCKETS];
+    final long[] mUnansweredBuckets = new long[BUCKETS];
 
     /** Adds the increments between two cumulative reports of one router. */
     void addDelta(RouteEvidence before, RouteEvidence after) {
         mRequests += Math.max(0, after.getRequests() - before.getRequests());
         mErrors += Math.max(0, after.getErrors() - before.getErrors());
-        List<Long> old = before.getLatencyBucketsList();
-        for (int i = 0; i < after.getLatencyBucketsCount(); i++) {
-            long delta = after.getLatencyBuckets(i) - (i < old.size() ? old.get(i) : 0);
-            mBuckets[Math.min(i, BUCKETS - 1)] += Math.max(0, delta);
+        addDelta(mBuckets, before.getLatencyBucketsList(), after.getLatencyBucketsList());
+        addDelta(
+                mUnansweredBuckets,
+                before.getUnansweredBucketsList(),
+                after.getUnansweredBucketsList());
+    }
+
+    private static void addDelta(long[] buckets, List<Long> before, List<Long> after) {
+        for (int i = 0; i < after.size(); i++) {
+            long delta = after.get(i) - (i < before.size() ? before.get(i) : 0);
+            buckets[Math.min(i, BUCKETS - 1)] += Math.max(0, delta);
         }
     }
 
@@ -32,6 +44,7 @@
         mErrors += other.mErrors;
         for (int i = 0; i < BUCKETS; i++) {
             mBuckets[i] += other.mBuckets[i];
+            mUnansweredBuckets[i] += other.mUnansweredBuckets[i];
         }
     }
 
@@ -50,16 +63,26 @@
         return BUCKETS - 1;
     }
 
-    long countAbove(int bucket) {
+    /** Returns the number of attempts that took longer than the bucket, answered or not. */
+    long slowCount(int bucket) {
+        return countAbove(mBuckets, bucket) + countAbove(mUnansweredBuckets, bucket);
+    }
+
+    /** Returns the number of attempts known to have taken longer than the bucket or not. */
+    long comparableCount(int bucket) {
+        return latencyCount() + countAbove(mUnansweredBuckets, bucket);
+    }
+
+    /** Returns the number of recorded latencies of answers. */
+    long latencyCount() {
+        return countAbove(mBuckets, -1);
+    }
+
+    private static long countAbove(long[] buckets, int bucket) {
         long sum = 0;
         for (int i = bucket + 1; i < BUCKETS; i++) {
-            sum += mBuckets[i];
+            sum += buckets[i];
         }
         return sum;
     }
-
-    /** Returns the number of recorded latencies. */
-    long latencyCount() {
-        return countAbove(-1);
-    }
 }
--- a/src/main/java/org/jacinthwharf/version/RouteVerdict.java
+++ b/src/main/java/org/jacinthwharf/version/RouteVerdict.java
@@ -103,11 +103,11 @@
                         acceptableRate(
                                 old,
                                 recent,
-                                counts -> counts.countAbove(bucket),
-                                RequestCounts::latencyCount));
+                                counts -> counts.slowCount(bucket),
+                                counts -> counts.comparableCount(bucket)));
         mLatencyTest.add(
-                now.latencyCount() - mSampled.latencyCount(),
-                now.countAbove(bucket) - mSampled.countAbove(bucket),
+                now.comparableCount(bucket) - mSampled.comparableCount(bucket),
+                now.slowCount(bucket) - mSampled.slowCount(bucket),
                 rate,
                 Math.min(0.99, rate + SLOW_EXCESS));
     }
--- a/src/test/java/org/jacinthwharf/process/gateway/VersionSelectorTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/VersionSelectorTest.java
@@ -12,6 +12,7 @@
 import org.jacinthwharf.id.RouterIncarnation;
 import org.jacinthwharf.id.VmId;
 import org.jacinthwharf.process.loop.NettyEventLoop;
+import org.jacinthwharf.process.moves.EvidenceSink.AttemptResult;
 import org.jacinthwharf.process.moves.VersionDriver;
 import org.jacinthwharf.request.dispatch.BackendServer;
 import org.jacinthwharf.request.dispatch.DispatchRequest;
@@ -103,7 +104,7 @@
                                         .setToVersion("v2")
                                         .setPhase(MovePhase.CANARY))
                         .build();
-        selector.onAttemptEnd(pool, request(), Optional.of(true), 10);
+        selector.onAttemptEnd(pool, request(), AttemptResult.COMPLETE, 10);
         driver.tick(Configuration.newBuilder().addModels(mModel).build());
         List<RouteEvidence> routes = mSent.get(0).getVersionEvidence().getRoutesList();
         assertThat(routes).hasSize(1);
--- a/src/test/java/org/jacinthwharf/version/MoveSimulation.java
+++ b/src/test/java/org/jacinthwharf/version/MoveSimulation.java
@@ -18,6 +18,7 @@
 final class MoveSimulation {
     static final List<String> ROUTES = List.of("generate", "tags");
     static final long SECOND_NANOS = 1_000_000_000L;
+    private static final int SLOW_BUCKET = 44;
 
     /** The rate of bad requests of a version on a route, by second and share. */
     interface Behaviour {
@@ -41,6 +42,14 @@
 
     boolean mLocalVerdicts = true;
 
+    /** Slow requests end unanswered in this bucket, at the deadline of their callers. */
+    int mDeadlineBucket = Integer.MAX_VALUE;
+
+    /**
+     * Share of callers that leave before they are answered, at any time before the slow answers.
+     */
+    double mLeavingShare;
+
     /** If positive, each router gets one request on route "tags" in this number of seconds. */
     int mTagsIntervalSeconds;
 
@@ -155,10 +164,18 @@
         boolean error = mRandom.nextDouble() < mErrors.badRate(version, route, mSecond, share);
         boolean slow = mRandom.nextDouble() < mSlowness.badRate(version, route, mSecond, share);
         RouteEvidence.Builder counts = counts(router, route, version);
+        // Normal latencies are spread over 16 buckets; slow ones are far above.
+        int bucket = slow ? SLOW_BUCKET : 16 + mRandom.nextInt(16);
+        int left =
+                mLeavingShare > 0 && mRandom.nextDouble() < mLeavingShare
+                        ? mRandom.nextInt(SLOW_BUCKET)
+                        : mDeadlineBucket;
+        if (bucket > left) {
+            counts.setUnansweredBuckets(left, counts.getUnansweredBuckets(left) + 1);
+            return;
+        }
         counts.setRequests(counts.getRequests() + 1);
         counts.setErrors(counts.getErrors() + (error ? 1 : 0));
-        // Normal latencies are spread over 16 buckets; slow ones are far above.
-        int bucket = slow ? 44 : 16 + mRandom.nextInt(16);
         counts.setLatencyBuckets(bucket, counts.getLatencyBuckets(bucket) + 1);
     }
 
@@ -173,6 +190,7 @@
                                     .setVersion(version);
                     for (int i = 0; i < 50; i++) {
                         counts.addLatencyBuckets(0);
+                        counts.addUnansweredBuckets(0);
                     }
                     return counts;
                 });
