Move the check of lost attempts out of ForwardedCall

LossCheck finds out whether a lost attempt may have crashed its server, EmptyAnswers knows the status of an error, ServerAnswer whether only a close ends it. No change in behaviour: Crash*Test, LateAnswerTest and GoneCallerTest pass.

--- a/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ForwardedCall.java
@@ -4,9 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -65,6 +63,7 @@
     private final Route mRoute;
     private final DispatchRequest mDispatch;
     private final CallSubjects mSubjects;
+    private final LossCheck mLossCheck;
     private final HeaderCodec.CallerHeaders mCallerHeaders;
     private final Optional<String> mCustomer;
     private final GatewayContext mContext;
@@ -124,6 +123,7 @@
         mRoute = route;
         mDispatch = dispatch;
         mSubjects = new CallSubjects(request, callerHeaders.requestId(), dispatch);
+        mLossCheck = new LossCheck(mSubjects, context.crashCheck(), context.crashGuard());
         mCallerHeaders = callerHeaders;
         mCustomer = customer;
         mDeadlineNanos = deadlineNanos;
@@ -469,10 +469,10 @@
         }
         switch (end) {
             case COMPLETE -> {
-                if (!isEndedByClose()) {
+                if (!mAnswer.endsWithConnection(mRequest.method())) {
                     onComplete();
                 } else if (isStreamCutAtClose()) {
-                    onConnectionLost("the stream ended inside an event");
+                    onConnectionLost("the stream ended inside an event", checkServer());
                 } else {
                     checkEndByClose();
                 }
@@ -485,7 +485,7 @@
                 releasePlacement(AttemptResult.INCONCLUSIVE);
                 endWithError(RefusalReason.DEADLINE_PASSED, 0);
             }
-            case BROKEN -> onConnectionLost(cause);
+            case BROKEN -> onConnectionLost(cause, checkServer());
             default -> throw new IllegalStateException("unknown end of an exchange: " + end);
         }
     }
@@ -504,13 +504,6 @@
         return status < 400 ? AttemptResult.COMPLETE : AttemptResult.FAILED;
     }
 
-    /** Returns whether only the close of the connection ended an answer that has a body. */
-    private boolean isEndedByClose() {
-        return mAnswer.endsWithConnection()
-                && !mAnswer.isNotRun()
-                && !mRequest.method().equals(HttpMethod.HEAD);
-    }
-
     /**
      * Returns whether a stream was closed inside an event, or before the first one. An attempt that
      * resumes a stream may have nothing to add.
@@ -529,7 +522,7 @@
         Placement placement = mPlacement;
         CompletableFuture<CrashCheck.Result> check = checkServer();
         check.thenAccept(result -> step(() -> onEndChecked(placement, result, check)))
-                .exceptionally(this::logFailedCheck);
+                .exceptionally(mLossCheck::logFailure);
     }
 
     private void onEndChecked(
@@ -548,18 +541,8 @@
         }
     }
 
-    private Void logFailedCheck(Throwable e) {
-        LOGGER.atSevere().withCause(e).log(
-                "event=crash_check_failed request=%s", LogText.of(mCallerHeaders.requestId()));
-        return null;
-    }
-
     private CompletableFuture<CrashCheck.Result> checkServer() {
-        return mContext.crashCheck().check(mPlacement.server().address().socketAddress());
-    }
-
-    private void onConnectionLost(String cause) {
-        onConnectionLost(cause, checkServer());
+        return mLossCheck.checkServer(mPlacement.server());
     }
 
     /**
@@ -577,22 +560,14 @@
         mMayHaveRun = true;
         releasePlacement(AttemptResult.FAILED);
         suspect.thenAccept(isSuspect -> step(() -> onLossExplained(isSuspect, cause)))
-                .exceptionally(this::logFailedCheck);
+                .exceptionally(mLossCheck::logFailure);
     }
 
-    /** Returns whether the lost request may have crashed its server, once that is known. */
     private CompletableFuture<Boolean> recordLost(CompletableFuture<CrashCheck.Result> check) {
-        CrashGuard.LostAttempt lost =
+        return mLossCheck.record(
                 new CrashGuard.LostAttempt(
-                        mPlacement.server(), mAnswerBegun, mAnswer != null, now());
-        // The call may end, and its request be released, before the check.
-        mSubjects.request();
-        return check.thenApply(result -> mContext.crashGuard().onLost(mSubjects, lost, result))
-                .exceptionally(
-                        e -> {
-                            logFailedCheck(e);
-                            return false;
-                        });
+                        mPlacement.server(), mAnswerBegun, mAnswer != null, now()),
+                check);
     }
 
     private void onLossExplained(boolean suspect, String cause) {
@@ -767,14 +742,8 @@
             return;
         }
         boolean notRun = !mMayHaveRun;
-        int status =
-                notRun
-                        ? HttpResponseStatus.SERVICE_UNAVAILABLE.code()
-                        : reason == RefusalReason.DEADLINE_PASSED
-                                ? HttpResponseStatus.GATEWAY_TIMEOUT.code()
-                                : HttpResponseStatus.BAD_GATEWAY.code();
         mContext.metrics().countRefusal(reason);
-        FullHttpResponse answer = EmptyAnswers.of(status);
+        FullHttpResponse answer = EmptyAnswers.ofError(reason, notRun);
         mContext.headerCodec()
                 .writeRefusal(
                         answer.headers(),
@@ -782,6 +751,7 @@
                         reason.code(),
                         notRun ? retryMillis : 0);
         mCause = reason.code() + (mCause.isEmpty() ? "" : ": " + mCause);
+        int status = answer.status().code();
         end(notRun ? "refused" : "failed", status, () -> mCaller.answer(answer));
     }
 
--- a/src/main/java/org/jacinthwharf/process/gateway/ServerAnswer.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/ServerAnswer.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -67,9 +68,11 @@
         return mHeaders.notRun() || isMisdirected();
     }
 
-    /** Returns whether only the close of the connection ends the body. */
-    boolean endsWithConnection() {
-        return status() != HttpResponseStatus.NO_CONTENT.code()
+    /** Returns whether only the close of the connection ends the body of a request that ran. */
+    boolean endsWithConnection(HttpMethod method) {
+        return !isNotRun()
+                && !method.equals(HttpMethod.HEAD)
+                && status() != HttpResponseStatus.NO_CONTENT.code()
                 && status() != HttpResponseStatus.NOT_MODIFIED.code()
                 && !HttpUtil.isContentLengthSet(mHead)
                 && !HttpUtil.isTransferEncodingChunked(mHead);
