Keep versions that were rolled back apart after the next order

Cause: while no move of a service was completed, every version but the target of the move in force counted as the old one, and a model holds one move. The errors of v2 became part of the baseline of v3, too. Ruled out: memory in gateways, which one that starts later lacks.

A version that is ordered again is a target like any other.

--- a/src/main/java/org/jacinthwharf/process/control/ChangeRules.java
+++ b/src/main/java/org/jacinthwharf/process/control/ChangeRules.java
@@ -13,6 +13,7 @@
 import org.jacinthwharf.wire.generated.Model;
 import org.jacinthwharf.wire.generated.MovePhase;
 import org.jacinthwharf.wire.generated.MoveStep;
+import org.jacinthwharf.wire.generated.RejectedVersion;
 import org.jacinthwharf.wire.generated.RoutingTable;
 import org.jacinthwharf.wire.generated.Service;
 import org.jacinthwharf.wire.generated.VersionMove;
@@ -56,6 +57,7 @@
             case REPLACE_ROUTING -> replaceRouting(command.getReplaceRouting());
             case START_MOVE -> startMove(command);
             case MOVE_STEP -> moveStep(command.getMoveStep(), command.getNowMillis());
+            case FORGET_VERSION -> forgetVersion(command.getForgetVersion());
             default -> refused("the command has no change");
         };
     }
@@ -133,10 +135,10 @@
         if (isMoveInProgress(existing)) {
             return refused("a version move of model '%s' is under way", requested.getId());
         }
-        return change(
-                delta().addModels(
-                                existing.toBuilder()
-                                        .setCurrentVersion(requested.getCurrentVersion())));
+        Model.Builder changed =
+                existing.toBuilder().setCurrentVersion(requested.getCurrentVersion());
+        RejectedVersions.remove(changed, requested.getCurrentVersion());
+        return change(delta().addModels(changed));
     }
 
     private Decision removeModel(String id) {
@@ -186,6 +188,7 @@
                         .setShareBasisPoints(done ? ALL_TRAFFIC_BASIS_POINTS : 0)
                         .clearReason();
         Model.Builder changed = model.toBuilder().setMove(move);
+        RejectedVersions.remove(changed, requested.getToVersion());
         if (done) {
             changed.setCurrentVersion(requested.getToVersion());
         }
@@ -223,9 +226,21 @@
             next.setPhaseSinceMillis(nowMillis);
         }
         Model.Builder changed = model.toBuilder().setMove(next);
-        if (step.getPhase() == MovePhase.DONE) {
-            changed.setCurrentVersion(move.getToVersion());
+        switch (step.getPhase()) {
+            case DONE -> changed.setCurrentVersion(move.getToVersion());
+            case ROLLED_BACK, MISSED_DEADLINE -> RejectedVersions.add(changed, move.getToVersion());
+            default -> {}
+        }
+        return change(delta().addModels(changed));
+    }
+
+    private Decision forgetVersion(RejectedVersion forgotten) {
+        Model model = mState.model(forgotten.getModel());
+        if (model == null || !model.getRejectedVersionsList().contains(forgotten.getVersion())) {
+            return new Decision.NoChange();
         }
+        Model.Builder changed = model.toBuilder();
+        RejectedVersions.remove(changed, forgotten.getVersion());
         return change(delta().addModels(changed));
     }
 
--- a/src/main/java/org/jacinthwharf/process/control/ControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/ControlProcess.java
@@ -59,7 +59,9 @@
         ReplicatedLog log = mOpenLog.log();
         mPublisher = new ConfigurationPublisher(mState, log, loop);
         mState.setListener(mPublisher);
-        mStepProposer = new MoveStepProposer(components.planner(), mState, log, loop);
+        mStepProposer =
+                new MoveStepProposer(
+                        components.planner(), mState, log, loop, (model, version) -> true);
         mClaims = new ClaimRelay(log, loop, members::find);
         mDispatcher =
                 new ControlMessageDispatcher(
--- a/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
+++ b/src/main/java/org/jacinthwharf/process/control/DirectoryService.java
@@ -127,6 +127,17 @@
         return forward(removed.get(), mSubscribers.keySet(), true).thenApply(v -> true);
     }
 
+    /** Returns whether any server of a service is known to run a version. */
+    boolean runs(String service, String version) {
+        return mDirectory.entries().stream()
+                .map(ServerDirectory.Entry::record)
+                .anyMatch(
+                        r ->
+                                r.getStatus() != ServerStatus.GONE
+                                        && r.getService().equals(service)
+                                        && r.getVersion().equals(version));
+    }
+
     /**
      * Returns whether all servers of a service that are known to run have a version. False while
      * this member may not know all of them yet.
--- a/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
+++ b/src/main/java/org/jacinthwharf/process/control/SeededControlProcess.java
@@ -98,7 +98,6 @@
         mLog = mOpenLog.log();
         mPublisher = new ConfigurationPublisher(state, mLog, loop);
         state.setListener(mPublisher);
-        mStepProposer = new MoveStepProposer(components.planner(), state, mLog, loop);
         mClaims = new ClaimRelay(mLog, loop, members::find);
         mDispatcher =
                 new ControlMessageDispatcher(
@@ -112,6 +111,8 @@
                         components.witness());
         mLoadAggregator = new LoadAggregator(loop);
         mDirectory = new DirectoryService(mLoadAggregator::isRelayFor, loop);
+        mStepProposer =
+                new MoveStepProposer(components.planner(), state, mLog, loop, mDirectory::runs);
         mEvidence = new EvidenceRelay(mLoadAggregator::isRelayFor, loop);
         mUsage =
                 settings.duties()
--- a/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
+++ b/src/main/java/org/jacinthwharf/process/gateway/VersionSelector.java
@@ -24,12 +24,16 @@
  * Selects servers of the version that the version move of a service assigns to a request, and
  * records the results of each version.
  *
- * <p>Used on the event loop only. Invariant: a version that was rolled back receives no requests;
- * the target of an active move receives only the requests that the move assigns to it.
+ * <p>Used on the event loop only. Invariant: a version that was rolled back receives no requests,
+ * and its results are no baseline, until it is ordered again; the target of an active move receives
+ * only the requests that the move assigns to it.
  */
 final class VersionSelector implements VersionGate {
     private final Function<String, Optional<Model>> mModels;
 
+    /** Results of versions that are compared with none. */
+    private static final String OTHER_VERSION = "other";
+
     /** Larger than the number of requests that wait at the same time. */
     private static final int MAX_CHOSEN_VERSIONS = 4_096;
 
@@ -93,6 +97,7 @@
         boolean targetReserved = m.hasMove() && m.getMove().getPhase() != MovePhase.DONE;
         return servers.stream()
                 .filter(s -> !(targetReserved && s.version().equals(target)))
+                .filter(s -> !isRejected(m, s.version()))
                 .toList();
     }
 
@@ -116,9 +121,16 @@
         if (m.hasMove() && version.equals(m.getMove().getToVersion())) {
             return version;
         }
+        if (isRejected(m, version)) {
+            return OTHER_VERSION;
+        }
         boolean known = !m.getCurrentVersion().equals(VersionSplit.VERSION_BEFORE_MOVES);
         String from = m.hasMove() ? m.getMove().getFromVersion() : m.getCurrentVersion();
-        return known && !version.equals(from) ? "other" : from;
+        return known && !version.equals(from) ? OTHER_VERSION : from;
+    }
+
+    private static boolean isRejected(Model m, String version) {
+        return m.getRejectedVersionsList().contains(version);
     }
 
     /** Records the start of an attempt; returns the version that it counts for, if any. */
--- a/src/test/java/org/jacinthwharf/process/control/MoveStepProposerTest.java
+++ b/src/test/java/org/jacinthwharf/process/control/MoveStepProposerTest.java
@@ -14,7 +14,8 @@
     private final ControlStateMachine mState = new ControlStateMachine(new InMemoryClaims());
     private final SingleMemberLog mLog = new SingleMemberLog(mState);
     private final MoveStepProposer mProposer =
-            new MoveStepProposer(this, mState, mLog, new ManualEventLoop());
+            new MoveStepProposer(
+                    this, mState, mLog, new ManualEventLoop(), (model, version) -> true);
     private final List<String> mCalls = new ArrayList<>();
 
     @Test
--- a/src/test/java/org/jacinthwharf/process/gateway/VersionSelectorTest.java
+++ b/src/test/java/org/jacinthwharf/process/gateway/VersionSelectorTest.java
@@ -59,6 +59,56 @@
                 mLoop);
     }
 
+    private static List<String> versions(VersionSelector selector, BackendServer... servers) {
+        return selector.allowed(request(), List.of(servers), false).stream()
+                .map(BackendServer::version)
+                .toList();
+    }
+
+    private static VersionMove move(String from, String to, MovePhase phase) {
+        return VersionMove.newBuilder()
+                .setId("move to " + to)
+                .setFromVersion(from)
+                .setToVersion(to)
+                .setPhase(phase)
+                .build();
+    }
+
+    // Guards against a version that was rolled back and counts as the old one with the next order.
+    @Test
+    void versionsThatWereRolledBackStayApartDuringTheNextMove() {
+        VersionDriver driver = driver();
+        VersionSelector selector = new VersionSelector(s -> Optional.of(mModel), driver);
+        mModel =
+                mModel.toBuilder()
+                        .addRejectedVersions("v2")
+                        .addRejectedVersions("v3")
+                        .setMove(move(OLD, "v4", MovePhase.CANARY))
+                        .build();
+        BackendServer[] all = {server("v1"), server("v2"), server("v3"), server("v4")};
+        assertThat(versions(selector, all)).containsExactly("v1");
+        Optional<PoolId> pool = selector.onAttemptStart(all[1], request());
+        selector.onAttemptEnd(pool, request(), AttemptResult.FAILED, 10);
+        driver.tick(Configuration.newBuilder().addModels(mModel).build());
+        List<RouteEvidence> routes = mSent.get(0).getVersionEvidence().getRoutesList();
+        assertThat(routes.stream().map(RouteEvidence::getVersion).toList())
+                .containsNoneOf(OLD, "v4");
+    }
+
+    @Test
+    void versionThatWasRolledBackIsNoChoiceWhereNoneOfTheOldOneIsLeft() {
+        VersionSelector selector = new VersionSelector(s -> Optional.of(mModel), driver());
+        mModel =
+                mModel.toBuilder()
+                        .setCurrentVersion("v1")
+                        .addRejectedVersions("v2")
+                        .setMove(move("v1", "v3", MovePhase.CANARY))
+                        .build();
+        assertThat(versions(selector, server("v2"), server("v3"), server("v5")))
+                .containsExactly("v5");
+        assertThat(versions(selector, server("v2"), server("v3"))).isEmpty();
+    }
+
     private static BackendServer server(String version) {
         ServerTable table = new ServerTable();
         ServerRecord record =
