--- a/src/main/java/org/jacinthwharf/connection/Links.java
+++ b/src/main/java/org/jacinthwharf/connection/Links.java
@@ -165,7 +165,7 @@
                         .connect(address);
         connecting.addListener(
                 f -> {
-                    if (f.cause() != null && ConnectFailures.isRefusal(f.cause())) {
+                    if (!mClosed && ConnectFailures.isRefusal(f.cause())) {
                         mLoop.execute(onRefused);
                     }
                 });
