--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Exit code 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the
+# disruption out. Needs the build of deploy/system.toml and review/build-3.sh.
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+if [ ! -f target/jacinthwharf.jar ] || [ ! -f target/jacinthwharf.jsa ] \
+    || [ ! -f target/review-3/entries/BadUnderLoad.class ]; then
+  echo "build first: deploy/system.toml, review/build-3.sh" >&2
+  exit 2
+fi
+exec java -Xmx256m -cp target/review-3/entries ReviewCase BadUnderLoad review/15
