Review case 14: a version whose events come slowly is completed

Streams of the new version begin in time; in 0.4 of them the later events come 7 times slower. The evidence on a version holds the latency of the first event only, so the version is completed about 27 s after its order.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,8 +4,13 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 if [ ! -f target/jacinthwharf.jar ] || [ ! -f target/jacinthwharf.jsa ] \
-    || [ ! -f target/review-3/entries/DepartedReplica.class ]; then
+    || [ ! -f target/review-3/SlowEvents.class ]; then
   echo "build first: deploy/system.toml, review/build-3.sh" >&2
   exit 2
 fi
-exec java -Xmx256m -cp target/review-3/entries ReviewCase DepartedReplica review/14
+timeout -k 5 115 java -XX:+UseSerialGC -Xmx200m -cp target/review-3 SlowEvents review/14
+result=$?
+case $result in
+  0 | 1) exit $result ;;
+  *) exit 2 ;;
+esac
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -4,8 +4,8 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 if [ ! -f target/jacinthwharf.jar ] || [ ! -f target/jacinthwharf.jsa ] \
-    || [ ! -f target/review-3/entries/BadUnderLoad.class ]; then
+    || [ ! -f target/review-3/entries/DepartedReplica.class ]; then
   echo "build first: deploy/system.toml, review/build-3.sh" >&2
   exit 2
 fi
-exec java -Xmx256m -cp target/review-3/entries ReviewCase BadUnderLoad review/15
+exec java -Xmx256m -cp target/review-3/entries ReviewCase DepartedReplica review/15
--- a/review/stand-ins-3/Fleet.java
+++ b/review/stand-ins-3/Fleet.java
@@ -310,7 +310,12 @@
             Files.writeString(file, "");
         }
 
-        synchronized void add(String format, Object... arguments) {
+        void add(String format, Object... arguments) {
+            System.out.print(file(format, arguments));
+        }
+
+        /** Adds a line to the file only, and returns it. */
+        synchronized String file(String format, Object... arguments) {
             String line =
                     String.format(
                             Locale.ROOT,
@@ -322,7 +327,7 @@
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
-            System.out.print(line);
+            return line;
         }
 
         /** Returns the seconds since the start. */
--- a/review/stand-ins-3/Platform.java
+++ b/review/stand-ins-3/Platform.java
@@ -21,6 +21,17 @@
                 + "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"" + KEY + "\"],\"priority\":1}]}";
     }
 
+    /** Returns a desired state with one route whose answers are streams. */
+    static String streamState(int version, int gapSloMs) {
+        return desiredState(version, "stream")
+                .replace("\"timeoutMs\":3000", "\"timeoutMs\":12000")
+                .replace("\"attempts\":2", "\"attempts\":1")
+                .replace(
+                        "\"sticky\":false",
+                        "\"sticky\":false,\"resumable\":false,\"gapSloMs\":" + gapSloMs)
+                .replace("\"maxConns\":100", "\"maxConns\":360");
+    }
+
     /** Returns the version in a desired state, -1 if there is none. */
     static int version(String desiredState) {
         java.util.regex.Matcher m =
